Believe no array header before its parts have come

Cause: hiredis sets an array's room aside on the word of its header. A reader shared by clients and cache servers now checks headers first: at most 16 parts, no arrays within arrays, no line over 4096 bytes.

Ruled out: descriptors, memory and cache servers (all had room); discovery (its calls timed out late because the loop stood); the module's refusals (gone with the module unchanged).

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -15,12 +15,12 @@
 from brackenwalk.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from brackenwalk.net.host import Host
 from brackenwalk.net.pool import readable
+from brackenwalk.net.resp import NOT_YET, Reader
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
 BACKLOG = 512
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
-NOT_YET = object()
 log = logging.getLogger(__name__)
 
 
@@ -38,7 +38,7 @@
     def __init__(self, host: Host, listener: Listener) -> None:
         self.host = host
         self.listener = listener
-        self.reader = hiredis.Reader(notEnoughData=NOT_YET)
+        self.reader = Reader()
         self.held_back = 0  # bytes since the last whole command
         self.slots: deque[Slot] = deque()
         self.reading = True
@@ -72,7 +72,7 @@
                 if self.held_back > MAX_COMMAND:
                     self._end_with("-ERR command is too long")
                 break
-            self.held_back = self.reader.len() if self.reader.has_data() else 0
+            self.held_back = self.reader.held()
             self._take(parts)
         self._read_or_not()
 
--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -9,9 +9,9 @@
 from brackenwalk.interface import Status
 from brackenwalk.net.command import MAX_VALUE, Command
 from brackenwalk.net.pool import Answer, Connection, MalformedAnswer, Pool
+from brackenwalk.net.resp import NOT_YET, Reader
 
 MAX_ANSWER = MAX_VALUE + 4096  # the value and what stands round it
-NOT_YET = object()
 
 
 class CacheConnection(Connection):
@@ -19,7 +19,7 @@
 
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
-        self.reader = hiredis.Reader(notEnoughData=NOT_YET)
+        self.reader = Reader()
         self.received = 0
 
     def encode(self, command: Command, time_left: float) -> bytes:
@@ -51,4 +51,4 @@
         return Status.OK, reply[0]
 
     def reusable(self) -> bool:
-        return not self.reader.has_data()
+        return self.reader.clear()
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -180,7 +180,19 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("sent", [b"PING\r\n", b"\x00\xff", b"*x\r\n", b"*9999999999\r\n"])
+NO_FRAMING = [
+    b"PING\r\n",
+    b"\x00\xff",
+    b"*x\r\n",
+    b"*9999999999\r\n",
+    b"*1000000000\r\n",  # room for it would be set aside, and the router would stand while freeing that
+    b"*1\r\n*1000000000\r\n",
+    b"~1000000000\r\n",
+    b"+" + b"x" * 5000,
+]
+
+
+@pytest.mark.parametrize("sent", NO_FRAMING)
 def test_lost_framing_ends_the_connection(sent: bytes) -> None:
     """Anything read after it might be a part of a value, carried out as a command."""
 
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -73,7 +73,17 @@
 
 
 @pytest.mark.parametrize(
-    "answer", [b"hello\r\n", b"*0\r\n", b":3\r\n", b"*1\r\n:3\r\n", LONG, b"*9999999999\r\n"]
+    "answer",
+    [
+        b"hello\r\n",
+        b"*0\r\n",
+        b":3\r\n",
+        b"*1\r\n:3\r\n",
+        LONG,
+        b"*9999999999\r\n",
+        b"*1000000000\r\n",
+        b"*2\r\n*1000000000\r\n",
+    ],
 )
 def test_a_malformed_answer_may_have_run_and_ends_its_connection(answer: bytes) -> None:
     """What follows on such a connection can't be told from the answer to a later request."""
