Send a second copy of what stays unanswered far past the usual time

Cause: about 1.6% of answers never come, or come in part, on links that are otherwise quick (202 and 86 of 17,000 in one router's system calls). The module waited out the deadline on each. Every one cost its request, held a place at its server and cut that server's limit, so that others were refused.

A read or keyed write unanswered for 8 times its server's usual latency, and past its target, now gets one more copy from the budget of retries; a miss of a copy goes on to the origin though the first is still out.

Ruled out: silent servers, stale connections, unread bytes, size.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -32,6 +32,7 @@
 LIMIT_CUT = 0.75  # soon enough to empty a crowded server within a few rounds; a tenth took many seconds
 RETRY_SHARE = 0.2  # retries for each request taken: enough for a server lost, too few to feed an overload
 RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
+LOST = 8.0  # times the usual latency: an answer that has not come by then is taken for lost
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
@@ -65,6 +66,7 @@
     sent_at: float
     open: bool = True
     may_have_run: bool = True  # until an outcome proves the contrary
+    late_at: float = math.inf  # from then on a copy may go out
 
 
 @dataclass(slots=True, eq=False)
@@ -111,11 +113,9 @@
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: list[tuple[float, int, Held]] = []  # for the origin, or any server: worth, then age
-        self.queued = 0
-        self.list_failures = 0
+        self.queued = self.taken = self.list_failures = 0
         self.retries = RETRIES_SAVED
         self.born = self.halve_at = now
-        self.taken = 0  # requests, since birth
         self.keep = KEEP
         self._build_ring()
         self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
@@ -177,15 +177,13 @@
         if name in self.servers:
             self._place(self.servers.pop(name), 0)
 
-    def _place(self, server: Server, count: int) -> tuple[int, ...]:
-        """Give a server its points, each with a rank among them; answers with those that are new."""
-        if count == len(server.points):
-            return ()
-        for p in server.points:
-            del self.owners[p]
-        server.points = virtual_nodes(server.entry.server, count)
-        self.owners.update({p: (server, (j + 0.5) / count) for j, p in enumerate(server.points)})
-        return server.points
+    def _place(self, server: Server, count: int) -> None:
+        """Give a server its points, each with a rank among them."""
+        if count != len(server.points):
+            for p in server.points:
+                del self.owners[p]
+            server.points = virtual_nodes(server.entry.server, count)
+            self.owners.update({p: (server, (j + 0.5) / count) for j, p in enumerate(server.points)})
 
     def _build_ring(self) -> None:
         """Points follow the size of a server alone, so that others coming or going move none of them."""
@@ -194,20 +192,14 @@
             s.size = s.entry.weight
             if self.settings.live_weights:
                 # live weights fall with load and come late: on the ring they moved keys with every list
-                kind = s.entry.kind
-                s.size = self.sizes[kind] = max(self.sizes.get(kind, 0.0), s.size)
+                s.size = self.sizes[s.entry.kind] = max(self.sizes.get(s.entry.kind, 0.0), s.size)
                 s.reported = s.size / s.entry.weight - 1 if s.entry.weight else 0.0
         largest = max((s.size for s in caches), default=0.0) or 1.0  # and what a missing weight counts as
         unit = 2.0 ** math.ceil(math.log2(largest))  # rarely changes with the fleet
-        fresh: set[int] = set()
         for s in self.servers.values():
             s.size = s.size or largest
-            fresh.update(
-                self._place(s, math.ceil(POINTS * s.size / unit) if s.cache and s.entry.ready else 0)
-            )
-        if fresh or len(self.owners) < len(self.positions):
-            kept = [p for p in self.positions if p in self.owners and p not in fresh]
-            self.positions = sorted([*kept, *fresh])
+            self._place(s, math.ceil(POINTS * s.size / unit) if s.cache and s.entry.ready else 0)
+        self.positions = sorted(self.owners)
         self.total_size = sum(s.size for s in caches)
         self.mean_reported = sum(s.reported for s in caches) / max(1, len(caches))
 
@@ -280,10 +272,10 @@
 
     def _on_request(self, request: api.Request) -> None:
         unknown = api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
-        request_class = self.settings.classes.get(request.request_class, unknown)
-        until = self.now + min(request.time_left - self.settings.tick, request_class.aim)
-        origin = self.settings.aside and request.write
-        held = self.held[request.request] = Held(request, request_class, until, origin)
+        kind = self.settings.classes.get(request.request_class, unknown)
+        until = self.now + min(request.time_left - self.settings.tick, kind.aim)
+        held = Held(request, kind, until, to_origin=self.settings.aside and request.write)
+        self.held[request.request] = held
         self.taken += 1
         self.retries = min(RETRIES_SAVED, self.retries + RETRY_SHARE)
         self._advance(held)
@@ -299,9 +291,8 @@
             return True
         if kind.effect is api.Effect.UNSAFE or server is None:
             return kind.effect is api.Effect.KEYED and kind.group is api.Group.ALL
-        if self.now >= min(a.sent_at for a in ran) + kind.window:
-            return False
-        return all(kind.group.joins(a.server.entry, server.entry) for a in ran)
+        in_window = self.now < min(a.sent_at for a in ran) + kind.window
+        return in_window and all(kind.group.joins(a.server.entry, server.entry) for a in ran)
 
     def _advance(self, held: Held) -> None:
         """Send the next attempt, hold the request for one, or end it."""
@@ -325,6 +316,17 @@
         server.load += 1
         server.quiet_since = min(server.quiet_since, self.now)
         self.out.append(api.Send(name, server.entry.server))
+        attempt.late_at = self.now + max(attempt.target, LOST * server.latency)
+        if self.settings.second_copies and attempt.late_at < held.until:
+            self.out.append(api.SetTimer(attempt.late_at - self.now, "late:" + name))
+
+    def _copy(self, held: Held, last: Attempt) -> None:
+        """A second copy of what should have been answered long ago: answers get lost on their way."""
+        if last.open and self.now >= last.late_at - self.settings.tick / 2 and self.retries >= 1:
+            server = self._choose(held) if last.server.cache else self._origin()
+            if server is not None and server.load < server.limit and self._permits(held, server):
+                self.retries -= 1
+                self._send(held, server)
 
     def _on_timer(self, event: api.TimerFired) -> None:
         what, _, name = event.token.partition(":")
@@ -335,10 +337,10 @@
         held = self.held.get(name)
         if held is not None and held.waiting:
             # half a tick of grace: rounding may wake us a hair before
-            if self.now >= self._latest_start(held) - self.settings.tick / 2:
-                self._end(held)
-            else:
-                self._wake_in_time(held)
+            late = self.now >= self._latest_start(held) - self.settings.tick / 2
+            (self._end if late else self._wake_in_time)(held)
+        elif held is not None and what == "late" and not held.streaming:
+            self._copy(held, held.attempts[-1])
 
     def _close_idle(self, server: Server | None) -> None:
         """Guards against full tables: an idle connection goes once its price has passed a new one's."""
@@ -355,6 +357,7 @@
 
     def _end(self, held: Held) -> None:
         """The final answer: a refusal where the class permits one, else a failure."""
+        held.waiting = False
         if held.streaming or held.open_attempts():
             return
         name = held.request.request
@@ -366,10 +369,10 @@
 
     def _forget(self, held: Held) -> None:
         held.waiting = False
-        del self.held[held.request.request]
-        for number, attempt in enumerate(held.attempts):
-            if attempt.open and self.settings.may_cancel:
-                self.out.append(api.Cancel(held.request.request, number))
+        name = held.request.request
+        del self.held[name]
+        if self.settings.may_cancel:
+            self.out += [api.Cancel(name, i) for i, a in enumerate(held.attempts) if a.open]
 
     def _on_outcome(self, event: api.Outcome) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
@@ -390,9 +393,10 @@
         self._learn_limit(attempt, event)
         held = self.held.get(event.request)
         if held is not None:
+            missed = event.status is api.Status.MISS and not held.to_origin  # whatever copies are out
             if event.closed or event.status is api.Status.OK:
                 self._forget(held)
-            elif not held.waiting and not held.open_attempts():
+            elif not held.waiting and (missed or not held.open_attempts()):
                 self._after_failure(held, event)
         if not attempt.server.cache:
             self._serve_queue()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -662,3 +662,73 @@
     d.router.servers["o"].latency = latency
     d.request("w1", key="k1", write=True)
     assert api.Refuse("w1", told) in d.last
+
+
+def served(d: Driver, count: int, latency: float = 0.02) -> None:
+    """A service that is well, and its usual latency known."""
+    for n in range(count):
+        d.request(f"well-{n}", key="k")
+        d.end(f"well-{n}", api.Status.OK, latency=latency)
+
+
+def test_an_answer_that_got_lost_does_not_cost_the_request() -> None:
+    """Each was waited for until the deadline, though others of its server came within milliseconds."""
+    d = Driver(settings())
+    d.list(*fleet("a", "b"))
+    served(d, 30)
+    first = d.request("r1", key="k")
+    d.wait(0.1)
+    assert d.sends["r1"] == [first]  # still within what is usual for its class
+    d.wait(0.4)
+    assert len(d.sends["r1"]) == 2 and d.sends["r1"][1] != first
+    d.end("r1", api.Status.OK, 1)
+    assert d.ended["r1"] == "served" and api.Cancel("r1", 0) in d.last
+
+
+def test_a_miss_of_the_copy_goes_on_to_the_origin_though_the_first_is_still_out() -> None:
+    d = Driver(settings(**ASIDE))
+    d.list(*fleet("a", "b"), entry("o", kind="origin"))
+    served(d, 30)
+    d.request("r1", key="k")
+    d.wait(0.4)
+    assert d.end("r1", api.Status.MISS, 1) == "o"
+    assert d.end("r1", api.Status.MISS, 0) is None  # one fetch is enough
+    d.end("r1", api.Status.OK, 2)
+    assert d.ended["r1"] == "served"
+
+
+@pytest.mark.parametrize("fetch", [api.Status.TIMEOUT, None])
+def test_with_all_copies_lost_there_is_still_an_answer(fetch: api.Status | None) -> None:
+    d = Driver(settings(**ASIDE))
+    d.list(*fleet("a", "b"), entry("o", kind="origin"))
+    served(d, 30)
+    d.request("r1", key="k")
+    d.wait(0.4)
+    if fetch is None:
+        d.router.servers["o"].load = 100  # no place there
+    d.end("r1", api.Status.MISS, 1)
+    d.wait(3.0)
+    assert "r1" in d.ended
+
+
+def test_what_may_not_run_twice_gets_no_copy() -> None:
+    d = Driver(settings())
+    d.list(*fleet("a", "b"))
+    served(d, 30)
+    d.request("r1", key="k", request_class="once")
+    d.wait(1.9)
+    assert len(d.sends["r1"]) == 1
+
+
+def test_copies_come_out_of_the_budget_of_retries() -> None:
+    """Where nothing answers, copies of everything would double the load."""
+    d = Driver(settings())
+    d.list(*fleet(*"abcdefgh"))
+    for name in "abcdefgh":
+        d.router.servers[name].limit = 100.0
+    served(d, 30)
+    for n in range(60):
+        d.request(f"r{n}", key=f"k{n}")
+    d.wait(0.9)
+    copies = sum(len(d.sends[f"r{n}"]) - 1 for n in range(60))
+    assert 0 < copies <= policy.RETRIES_SAVED
