Take SIGHUP as news of where discovery is

Cause: no handler was set for SIGHUP, so the signal that announces a changed configuration ended the router (exit status 129) with 19 requests in hand. The file is now read again; when discovery has moved, the watch goes on there at once from the list held. A file that can't be used is logged and changes nothing.

Ruled out: memory (16 MB of 80) and an exception in the program (none logged).

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -84,8 +84,20 @@
         raise ConfigError(f"RELAY_CONFIG: {e}") from e
 
 
-async def serve(config: Config) -> None:
+def reread(path: str, discovery: Discovery) -> None:
+    """Take what SIGHUP may change, the address of discovery; a file that can't be used changes nothing."""
+    try:
+        config = read_config(read_file(path))
+    except ConfigError as e:
+        logging.error("configuration not taken: %s", e)
+        return
+    logging.info("discovery is at %s", config.discovery)
+    discovery.move(config.discovery)
+
+
+async def serve(path: str) -> None:
     """Serve until SIGTERM, and then what was taken."""
+    config = read_config(read_file(path))
     settings = config.settings
     room = config.sockets - RESERVE
     dial, idle = settings.dial_timeout, settings.connection_idle
@@ -102,8 +114,10 @@
         discovery.subscribe()  # the module does not ask for what is pushed; it comes by the same calls
     listener = Listener(host, room // 2)
     terminated = asyncio.Event()
+    loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(each, terminated.set)
+        loop.add_signal_handler(each, terminated.set)
+    loop.add_signal_handler(signal.SIGHUP, reread, path, discovery)
     try:
         listener.start(config.listen)
     except OSError as e:
@@ -122,7 +136,7 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG", "")
     try:
-        asyncio.run(serve(read_config(read_file(path))))
+        asyncio.run(serve(path))
     except ConfigError as e:
         print(f"brackenwalk: {e}", file=sys.stderr)
         return 2
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -92,6 +92,14 @@
         if self.watch is None:
             self.watch = asyncio.create_task(self._watch())
 
+    def move(self, address: str) -> None:
+        """Ask at another address, at once and from the list held: its news soon counts as told."""
+        if address != self.address:
+            self.address = address
+            if self.watch is not None:
+                self.watch.cancel()
+            self.watch = asyncio.create_task(self._watch())
+
     async def _watch(self) -> None:
         try:
             while True:
@@ -105,8 +113,7 @@
             known = isinstance(e, (OSError, HttpError, ListError, orjson.JSONDecodeError))
             level, waited = logging.WARNING if known else logging.ERROR, time.monotonic() - began
             log.log(level, "discovery, after %.3f s: %s", waited, repr(e)[:200])
-        finally:
-            self.watch = None
+        self.watch = None  # a cancelled one has been replaced, or is not to be
         self.failed()
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -103,20 +103,28 @@
     return client
 
 
-async def listening(log: asyncio.StreamReader | None) -> tuple[str, int]:
-    """Where the program says that it listens."""
+async def said(log: asyncio.StreamReader | None, what: bytes) -> bytes:
+    """The next line of the log that has these words."""
     assert log is not None
-    while (found := re.search(rb"listening on ([0-9.]+:\d+)", await log.readline())) is None:
+    while (found := re.search(what, await log.readline())) is None:
         assert not log.at_eof()
-    return address_of(found[1].decode())
+    return found[0]
+
+
+async def listening(log: asyncio.StreamReader | None) -> tuple[str, int]:
+    """Where the program says that it listens."""
+    return address_of((await said(log, rb"listening on [0-9.]+:\d+")).decode().removeprefix("listening on "))
 
 
 @pytest.mark.parametrize("mode", ["subscribe", "automatic"])
-def test_the_program_serves_and_ends_on_sigterm_when_nothing_is_owed(mode: str, tmp_path: Path) -> None:
-    """Ended too early it loses what it has taken; too late it is killed with what it holds."""
+def test_the_program_serves_moves_and_ends_when_nothing_is_owed(mode: str, tmp_path: Path) -> None:
+    """Ended too early it loses what it has taken; too late it is killed with what it holds.
+
+    SIGHUP ends nothing, whatever the file says by then.
+    """
 
     async def scenario() -> None:
-        async with Peer() as cache, Peer() as discovery:
+        async with Peer() as cache, Peer() as discovery, Peer() as moved:
             line = {**LINE, "address": cache.address, "type": "std", "since_ms": 0}
             known = {"index": 1, "snapshot": True, "endpoints": [line]}
             settings = {**CONF, "membershipMode": mode}
@@ -140,6 +148,12 @@
                 client.write(read("r1"))
                 served = await cache.link()
                 await served.resp()
+                path.write_bytes(b"{")
+                process.send_signal(signal.SIGHUP)
+                await said(process.stderr, rb"configuration not taken: .*")
+                path.write_bytes(orjson.dumps({**config, "discovery": moved.address}))
+                process.send_signal(signal.SIGHUP)
+                assert "after=2&" in (await (await moved.link()).http())[0]
                 process.send_signal(signal.SIGTERM)
                 late = await ready(address)
                 assert await late.ended()
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -178,3 +178,27 @@
             assert await told.news.get() is None and told.watch.watch is None
 
     run(scenario)
+
+
+@pytest.mark.parametrize("failed", [False, True])
+def test_a_watch_goes_on_at_another_address(failed: bool) -> None:
+    """The old one tells nothing more; what the new one has to tell counts as told soon."""
+
+    async def scenario() -> None:
+        async with Peer() as old, Peer() as new:
+            told = Told(old)
+            _, link = await call(old)
+            if failed:
+                link.write(http("503 Busy"))
+                assert await told.news.get() is None
+            told.watch.move(old.address)  # no news: nothing changes
+            told.watch.move(new.address)
+            first, link = await call(new)
+            assert "after=41&" in first
+            told.watch.subscribe()
+            link.write(http("200 OK", message(42, False)))
+            assert (await told.news.get() or pytest.fail())[0] is api.ListKind.DELTA
+            assert "after=42&" in (await call(new))[0] and told.news.empty()
+            told.watch.close()
+
+    run(scenario)
