Leave lost answers out of what is known of their server

Cause: a lost answer ended as a time-out and entered its server's mean latency with the whole deadline, 1.26 s against 0.05 s at the origin. Reads waiting there are refused with less than twice the usual latency left, so each lost answer had the whole queue refused and stopped second copies too.

A time-out counts as slowness only while nothing sent later to that server has been answered; an attempt called off never does.

Told apart by counting refusals by the decision they came from: nearly all came from the origin's queue while its mean latency had jumped. Ruled out: the core (no longer used up), cache limits, early refusals by wait.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -1,6 +1,4 @@
-"""Every decision of a brackenwalk router, as a state machine without I/O.
-
-The types, events and actions it speaks in are in `brackenwalk/interface.py`.
+"""Every decision of a router, a state machine without I/O, in the terms of `brackenwalk/interface.py`.
 
 Each key is hashed onto a ring of weighted virtual nodes and sent to the first server clockwise; the walk
 goes on past servers whose load has reached (1 + epsilon) times the average.
@@ -54,6 +52,7 @@
     latency: float = 0.0  # smoothed
     slowness: float = 0.0  # smoothed share of the target that answers take, as one says little
     quiet_since: float = math.inf  # first send since its last answer
+    heard: float = -math.inf  # latest send that was answered
     used_at: float = 0.0  # last end of an attempt
 
 
@@ -161,10 +160,9 @@
         elif self.settings.subscribe:
             self.out.append(api.Subscribe())
         queue, self.queue = sorted(self.queue), []
-        for _, _, held in queue:
-            if held.waiting:
-                held.waiting = False
-                self._advance(held)
+        for held in (q[2] for q in queue if q[2].waiting):
+            held.waiting = False
+            self._advance(held)
 
     def _ask_list_later(self) -> None:
         """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
@@ -252,11 +250,9 @@
 
     def _eligible(self, held: Held, server: Server) -> bool:
         """Whether a server may take the request now."""
-        if server.load >= server.limit or server.load and self._silent(server):
-            return False
-        if any(a.server is server for a in held.attempts):
-            return False
-        return self._permits(held, server)
+        full = server.load >= server.limit or server.load and self._silent(server)
+        tried = any(a.server is server for a in held.attempts)
+        return not (full or tried) and self._permits(held, server)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
@@ -381,16 +377,17 @@
         attempt.open = False
         attempt.may_have_run = event.status not in api.NEVER_RAN
         attempt.server.load -= 1
-        if event.status not in UNHEARD:
+        told = event.status not in UNHEARD
+        if told:
             attempt.server.quiet_since = math.inf
+        # what was sent before an attempt that has been answered got lost, and says nothing of its server
+        told |= event.status is api.Status.TIMEOUT and attempt.server.heard <= attempt.sent_at
         attempt.server.used_at = self.now
         lost = event.status is api.Status.CONNECT_FAILED
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
         self._close_idle(attempt.server)
-        if attempt.server.cache:
-            self.good += SMOOTHING * ((event.status in (api.Status.OK, api.Status.MISS)) - self.good)
-            self.wait += SMOOTHING * (event.latency / (1 + attempt.server.reported) - self.wait)
-        self._learn_limit(attempt, event)
+        if told:
+            self._learn_limit(attempt, event)
         held = self.held.get(event.request)
         if held is not None:
             missed = event.status is api.Status.MISS and not held.to_origin  # whatever copies are out
@@ -446,10 +443,9 @@
                 self._end(held)
         # guards clients against waiting on for what can't be served any more: they may still ask again
         origin = self._origin()  # looked up once, not for each that waits
-        for held in [
-            q[2] for q in self.queue if q[2].waiting and self.now >= self._latest_start(q[2], origin)
-        ]:
-            self._end(held)
+        for _, _, held in self.queue:
+            if held.waiting and self.now >= self._latest_start(held, origin):
+                self._end(held)
         # guards against requests long ended piling up behind those of more worth
         self.queue = [q for q in self.queue if q[2].waiting]
         heapq.heapify(self.queue)
@@ -457,6 +453,11 @@
     def _learn_limit(self, attempt: Attempt, event: api.Outcome) -> None:
         """Adapt what this router has out at a server: less when it is slow or full, else a little more."""
         server = attempt.server
+        well = event.status in (api.Status.OK, api.Status.MISS)
+        server.heard = max(server.heard, attempt.sent_at if well else -math.inf)
+        if server.cache:
+            self.good += SMOOTHING * (well - self.good)
+            self.wait += SMOOTHING * (event.latency / (1 + server.reported) - self.wait)
         if event.status is not api.Status.FULL:
             server.latency += SMOOTHING * (event.latency - server.latency)
         server.slowness += SMOOTHING * (event.latency / attempt.target - server.slowness)
@@ -466,5 +467,5 @@
                 server.cut_at = self.now
             if event.status is api.Status.FULL:  # what is out there now is what it bears
                 server.limit = max(1.0, min(server.limit, server.load))
-        elif event.status in (api.Status.OK, api.Status.MISS) and server.load + 1 >= server.limit / 2:
+        elif well and server.load + 1 >= server.limit / 2:
             server.limit += 1 / server.limit
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -752,3 +752,31 @@
     looked = 0
     d.ok("w0")
     assert looked <= 10
+
+
+@pytest.mark.parametrize("how", [api.Status.TIMEOUT, api.Status.CANCELLED])
+def test_a_lost_answer_is_no_word_on_its_server(how: api.Status) -> None:
+    """One at the origin raised its mean latency by its whole deadline, and all that waited was refused."""
+    d = Driver(settings(**ASIDE))
+    d.list(*fleet("a", "b"), entry("o", kind="origin"))
+    for n in range(20):
+        missed(d, f"r{n}", key=f"k{n}")
+        d.end(f"r{n}", api.Status.OK, latency=0.02)
+    origin = d.router.servers["o"]
+    before = (origin.latency, origin.limit)
+    missed(d, "lost", key="lost")
+    d.now += 0.01
+    missed(d, "later", key="later")
+    d.end("later", api.Status.OK, latency=0.02)
+    d.end("lost", how, latency=2.0)
+    assert origin.latency <= before[0] + 0.01 and origin.limit >= before[1]
+
+
+def test_time_outs_of_a_server_that_answers_nothing_still_count() -> None:
+    d = Driver(settings())
+    d.list(*fleet("a"))
+    for n in range(4):
+        d.request(f"r{n}", key="k")
+    for n in range(4):
+        d.end(f"r{n}", api.Status.TIMEOUT, latency=1.0)
+    assert d.router.servers["a"].limit < policy.LIMIT_START
