Pass servers that fail everything, but for a trial now and then

Cause: two servers answered each request with -ERR at once and nothing else (153 of 153 errors in one router's system calls). The module cut a server's share for slow answers, refusals and silence only, and quick errors made these look idle and well; each of their keys paid an attempt and a retry.

After three failures in a row a server now gets one trial every shortest aim until it answers well.

Ruled out: malformed answers (none logged) and the origin (all 200).

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -32,6 +32,7 @@
 RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
 LOST = 8.0  # times the usual latency: an answer that has not come by then is taken for lost
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
+FAULTY = 3  # failures in a row that are no chance; from then on one trial every SILENCE
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
@@ -54,6 +55,7 @@
     quiet_since: float = math.inf  # first send since its last answer
     heard: float = -math.inf  # latest send that was answered
     used_at: float = 0.0  # last end of an attempt
+    wrong: int = 0  # failures since its last good answer
 
 
 @dataclass(slots=True, eq=False)
@@ -105,7 +107,6 @@
         self.out: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.owners: dict[int, tuple[Server, float]] = {}  # and the rank of each point among the owner's
-        self.positions: list[int] = []  # sorted
         self.seen: dict[str, int] = {}  # requests of each key, in a memory that halves every ramp
         self.seen_total = 0.0
         self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
@@ -252,7 +253,8 @@
         """Whether a server may take the request now."""
         full = server.load >= server.limit or server.load and self._silent(server)
         tried = any(a.server is server for a in held.attempts)
-        return not (full or tried) and self._permits(held, server)
+        faulty = server.wrong >= FAULTY and self.now - server.used_at < SILENCE * self.shortest_aim
+        return not (full or tried or faulty) and self._permits(held, server)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
@@ -270,8 +272,7 @@
         unknown = api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
         kind = self.settings.classes.get(request.request_class, unknown)
         until = self.now + min(request.time_left - self.settings.tick, kind.aim)
-        held = Held(request, kind, until, to_origin=self.settings.aside and request.write)
-        self.held[request.request] = held
+        held = self.held[request.request] = Held(request, kind, until, self.settings.aside and request.write)
         self.taken += 1
         self.retries = min(RETRIES_SAVED, self.retries + RETRY_SHARE)
         self._advance(held)
@@ -305,9 +306,8 @@
 
     def _send(self, held: Held, server: Server) -> None:
         name = held.request.request
-        target = CACHE_TARGET if server.cache else ORIGIN_TARGET
-        attempt = Attempt(server, target * held.request_class.aim, self.now)
-        self.attempts[name, len(held.attempts)] = attempt
+        target = (CACHE_TARGET if server.cache else ORIGIN_TARGET) * held.request_class.aim
+        attempt = self.attempts[name, len(held.attempts)] = Attempt(server, target, self.now)
         held.attempts.append(attempt)
         server.load += 1
         server.quiet_since = min(server.quiet_since, self.now)
@@ -406,8 +406,7 @@
             held.until = self.now  # guards against a failing origin: each server tried fetches the key again
         elif not held.to_origin and (event.status is not api.Status.FULL or self.good < ROOM):
             # guards against feeding an overload: full servers made every request into a dozen attempts
-            if self.retries < 1:
-                held.until = self.now
+            held.until = held.until if self.retries >= 1 else self.now
             self.retries = max(0.0, self.retries - 1)
         self._advance(held)
 
@@ -455,6 +454,7 @@
         server = attempt.server
         well = event.status in (api.Status.OK, api.Status.MISS)
         server.heard = max(server.heard, attempt.sent_at if well else -math.inf)
+        server.wrong = 0 if well else server.wrong + (event.status not in (*UNHEARD, api.Status.FULL))
         if server.cache:
             self.good += SMOOTHING * (well - self.good)
             self.wait += SMOOTHING * (event.latency / (1 + server.reported) - self.wait)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -780,3 +780,35 @@
     for n in range(4):
         d.end(f"r{n}", api.Status.TIMEOUT, latency=1.0)
     assert d.router.servers["a"].limit < policy.LIMIT_START
+
+
+@pytest.mark.parametrize("how", [api.Status.ERROR, api.Status.RESET, api.Status.CONNECT_FAILED])
+def test_a_server_that_fails_everything_is_passed_but_for_trials(how: api.Status) -> None:
+    """Its failures came at once, so it looked quick and idle, and each of its keys paid for an attempt."""
+    d = Driver(settings(**ASIDE))
+    d.list(*fleet("a", "b"))
+    d.router._load_of = lambda key: 0.0  # type: ignore[method-assign]  # as hot a key would be spread
+    first, second = order_of(d, "k")
+    for n in range(policy.FAULTY):
+        assert d.request(f"r{n}", key="k") == first
+        d.end(f"r{n}", how)
+        d.ok(f"r{n}")
+    assert d.request("passed", key="k", finish=True) == second
+    d.now += 1.1
+    assert d.request("trial", key="k") == first
+    d.end("trial", how)
+    d.ok("trial")
+    assert d.request("again", key="k", finish=True) == second
+    d.now += 1.1
+    assert [d.request(f"well{n}", key="k", finish=True) for n in range(5)] == [first] * 5
+
+
+def test_a_full_server_is_not_faulty() -> None:
+    d = Driver(settings())
+    d.list(*fleet("a", "b"))
+    d.router._load_of = lambda key: 0.0  # type: ignore[method-assign]
+    first, _ = order_of(d, "k")
+    for n in range(2 * policy.FAULTY):
+        assert d.request(f"r{n}", key="k") == first
+        d.end(f"r{n}", api.Status.FULL)
+        d.ok(f"r{n}")
