End peers that show no proper command within 2.5 s

Cause: nothing ended a connection on which no whole command came. The terms owe such a peer an error line or a close within 3 s; one with half a command held its descriptor for good, out of the budget of clients.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -19,6 +19,7 @@
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
+PATIENCE = 2.5  # seconds for a first whole command: an error line or a close is owed within 3
 BACKLOG = 512
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
 log = logging.getLogger(__name__)
@@ -49,6 +50,8 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.listener.connections[self] = None
+        loop = asyncio.get_running_loop()
+        self.patience = loop.call_later(PATIENCE, self._end_with, "-ERR no command came in time")
 
     def data_received(self, data: bytes) -> None:
         self.held_back += len(data)
@@ -81,6 +84,7 @@
         self.slots.append(slot)
         answer = partial(self._answer, slot)
         if isinstance(parts, list) and len(parts) == 1 and parts[0] in (b"PING", b"ping"):
+            self.patience.cancel()
             answer(b"+PONG\r\n" if self.host.ready() else b"-ERR no cache server is known\r\n")
             return
         try:
@@ -88,6 +92,7 @@
         except CommandError as e:
             answer(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
             return
+        self.patience.cancel()
         slot.request = command.request.decode()
         if self.host.take(command, answer) is None:
             slot.request = None
@@ -135,6 +140,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.forget(self)
+        self.patience.cancel()
         for slot in self.slots:
             if slot.answer is None and slot.request is not None:
                 self.host.client_gone(slot.request)
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -10,6 +10,7 @@
 import pytest
 
 from brackenwalk import interface as api
+from brackenwalk.net import clients
 from brackenwalk.net import host as hosts
 from brackenwalk.net.clients import MAX_COMMAND, MAX_PIPELINED
 from tests.loopback import HIT, MISS, SETTINGS, Router, book, command, http, read, run
@@ -220,6 +221,26 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("sent", [b"", b"*4\r\n$5\r\nC.G", command("GET", "k")])
+def test_a_peer_without_a_proper_command_is_ended_in_time(
+    sent: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Such peers stayed for good, and each held a descriptor that a client could have had."""
+    monkeypatch.setattr(clients, "PATIENCE", 0.2)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            peer, client = await router.client(), await router.client()
+            client.write(command("PING"))
+            assert await client.resp() == b"PONG"
+            peer.write(sent)
+            assert b"-ERR no command came in time" in await peer.reader.read()
+            client.write(command("PING"))  # one that has shown itself may be silent for as long as it likes
+            assert await client.resp() == b"PONG"
+
+    run(scenario)
+
+
 def test_more_commands_than_are_held_are_read_later() -> None:
     async def scenario() -> None:
         async with Router() as router:
