Tell peers a part of the requests where more than forty routers hear them

A trace of all routers had 430 messages a second in all, 28 bytes each, every one heard by 199 others: the price of what a request is told with grows with the number of routers, as all tell all of theirs. The lines at fault: the Tell in policy.py _on_request, sent for every window in which any request had come.

Ruled out: the handshakes as a larger share (18,600 connections for 36,800 requests, hardly any server is dialled twice by a router), processor time (0.13 s in a second for all of it).

News of ailing servers still goes out at once.

--- a/brackenwalk/demand.py
+++ b/brackenwalk/demand.py
@@ -33,7 +33,8 @@
 class Demand:
     """How often each key was asked for lately."""
 
-    def __init__(self) -> None:
+    def __init__(self, told: float = 1.0) -> None:
+        self.memory = MEMORY * told  # for each server: as far back in time whatever part peers tell
         self.times: Counter[int] = Counter()
         self.total = 0.0
         self.untold: Counter[int] = Counter()  # own requests since the last message
@@ -75,7 +76,7 @@
         are shares of all requests as well.
         """
         room = {s: bound * a / sum(able.values()) for s, a in able.items()}
-        while self.total > MEMORY * len(room):
+        while self.total > self.memory * len(room):
             self.times = Counter({k: n // 2 for k, n in self.times.items() if n > 1})
             self.total /= 2
         total = max(self.total, len(room))
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -39,6 +39,7 @@
 EASE_GAIN = 0.1  # of its points that come back each second: time for the queue of a crowd to be worked off
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 TELL = 0.25  # shortest aims between two messages to the peers: a hot key is known well within one
+TELLERS = 40  # routers whose requests tell what is hot; of more each tells a part, as each is heard by all
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 
@@ -53,7 +54,8 @@
         self.out: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.ring: Ring[Server] = Ring()
-        self.demand = Demand()
+        self.told = min(1.0, TELLERS / settings.siblings)  # part of own requests that peers are told of
+        self.demand = Demand(self.told)
         self.ailing: dict[Server, None] = {}  # and peers not told yet
         self.portions: dict[int, dict[Server, float]] = {}  # of a hot key's share, at the servers it takes
         self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
@@ -249,7 +251,9 @@
             self.bold = min(self.settings.fall_multiple / 2, self.total_size / (sum(able.values()) or 1.0))
             self.portions = self.demand.share_out(able, 1 + EPSILON, self._clockwise)
             message = self.demand.message([ring_hash(s.entry.server)[0] >> 32 for s in self.ailing])
-            if self.settings.peers and message:
+            # guards against a price that grows with the square of the routers
+            wanted = self.ailing or self.random.random() < self.told
+            if self.settings.peers and message and wanted:
                 self.out.append(api.Tell(message))
             self.ailing.clear()
         self.retries = min(RETRIES_SAVED, self.retries + RETRY_SHARE)
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -170,3 +170,32 @@
     d.now += 0.5
     asked(d, "tell", "k")
     assert [d.request(f"a{n}", key=f"k{n}", finish=True) for n in range(200)] == before
+
+
+@pytest.mark.parametrize(("siblings", "least", "most"), [(4, 1.0, 1.0), (40, 1.0, 1.0), (200, 0.1, 0.3)])
+def test_what_all_routers_hear_does_not_grow_with_the_square_of_their_number(
+    siblings: int, least: float, most: float
+) -> None:
+    """Each of two hundred told every request to all others: five points of service in a hundred."""
+    d = Driver(settings(peers=True, siblings=siblings))
+    d.list(*SERVERS)
+    messages = 0
+    for n in range(400):
+        d.now += 0.5  # longer than the longest pause between two messages
+        messages += len(asked(d, f"r{n}", f"k{n}")[1])
+    assert least * 400 <= messages <= most * 400
+    for n in range(3):  # a server found dead is told at once, by any number
+        d.request(f"s{n}", key="k")
+    d.now += 1.5
+    asked(d, "t", "k")
+    d.now += 0.5
+    assert asked(d, "last", "other")[1]
+
+
+def test_less_is_remembered_where_less_is_told() -> None:
+    """A key that turns hot is to count as hot as soon as where all requests are told."""
+    one = Demand(0.2)
+    for key in range(6 * 128):
+        one.add(key)
+    one.share_out(dict.fromkeys("abcdef", 1.0), 1.25, lambda position: iter("abcdef"))
+    assert one.total <= 0.2 * 6 * 128
