Let all routers ask for the list within half of the time in which each must have asked

A trace had eight subscriptions a second from the first to the 25th second: router 199 of 200 asks 25 s after its start, while the servers had been replaced between 7.2 s and 12.4 s. Until then it sends by the list that it was started with; a drain longer than 6 s would have broken the rule as well.

The 8 calls a second behind CALL were measured with 40 routers. Ruled out: calls that fail, or pauses after them (no line of either in any log of the fleet).

At fault: policy.py _on_list, CALL times the router's number, and _ask_list_later, whose least pause was as long. Change: a turn is CALL, or what lets all routers have theirs in half of rules.mustAskIn; the other half is for a call that waits or fails. Up to 40 routers nothing changes.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -33,6 +33,7 @@
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 FAULTY = 3  # failures in a row that are no chance; from then on one trial every SILENCE
 CALL = 0.125  # seconds for each router's call: forty at once had sixteen answered in the 2 s they may wait
+ASK = 0.5  # of the time by which all must have asked: a call that fails leaves time for another
 EASE = (
     0.5  # of its points that a server keeps when found ailing: one that does a tenth is there in four rounds
 )
@@ -54,6 +55,7 @@
         self.out: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.ring: Ring[Server] = Ring()
+        self.turn = min(CALL, ASK * settings.must_ask_in / settings.siblings)  # for each router's call
         self.told = min(1.0, TELLERS / settings.siblings)  # part of own requests that peers are told of
         self.demand = Demand(self.told)
         self.ailing: dict[Server, None] = {}  # and peers not told yet
@@ -113,7 +115,7 @@
             self.list_failures = 0
         elif self.settings.subscribe:
             # guards against asking in step: a call that waits too long fails, and is still worked through
-            self.out.append(api.SetTimer(CALL * (self.settings.number + self.random.random()), "list"))
+            self.out.append(api.SetTimer(self.turn * (self.settings.number + self.random.random()), "list"))
         queue, self.queue = sorted(self.queue), []
         for held in (q[2] for q in queue if q[2].waiting):
             held.waiting = False
@@ -122,7 +124,9 @@
     def _ask_list_later(self) -> None:
         """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
         self.list_failures += 1
-        least = max(self.settings.fall_window, self.settings.siblings * CALL)  # until all have had their turn
+        least = max(
+            self.settings.fall_window, self.settings.siblings * self.turn
+        )  # until all have had their turn
         pause = min(self.settings.ramp, least * 2.0 ** (self.list_failures - 1))
         self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
         self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
