Spread the calls to a new discovery after SIGHUP over a second

The issue asks that no router asks discovery in step with the others, after SIGHUP either. Discovery.move in net/discovery.py called the new address in the instant of the signal. Where all are told at once, discovery would have all calls at once, with those that wait over 2 s failing.

The module now decides when: it is told that discovery has moved, and subscribes within a second at random, by its own seed. The old watch stays until then, as its connection lasts 1.5 s; news counts as told after 4 s.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -100,7 +100,7 @@
         raise ConfigError(f"RELAY_CONFIG: {e}") from e
 
 
-def reread(path: str, discovery: Discovery) -> None:
+def reread(path: str, discovery: Discovery, host: Host) -> None:
     """Take what SIGHUP may change, the address of discovery; a file that can't be used changes nothing."""
     try:
         config = read_config(read_file(path))
@@ -108,7 +108,8 @@
         logging.error("configuration not taken: %s", e)
         return
     logging.info("discovery is at %s", config.discovery)
-    discovery.move(config.discovery)
+    if discovery.move(config.discovery):
+        host.discovery_moved()
 
 
 async def serve(path: str) -> None:
@@ -138,7 +139,7 @@
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, terminated.set)
-    loop.add_signal_handler(signal.SIGHUP, reread, path, discovery)
+    loop.add_signal_handler(signal.SIGHUP, reread, path, discovery, host)
     try:
         listener.start(config.listen)
     except OSError as e:
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -51,6 +51,7 @@
     FULL = "full"
     SAVED = "saved"
     FAILED = "failed"
+    MOVED = "moved"  # discovery is elsewhere now; the list held still holds
 
 
 class Status(Enum):
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -85,20 +85,21 @@
         self.index = index
         self.told = told
         self.failed = failed
+        self.asked = address  # by the watch's latest call
         self.watch: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
-        """Begin a watch, unless one is on."""
+        """Begin a watch, unless one is on; one that waits at an old address makes way."""
+        if self.watch is not None and self.asked != self.address:
+            self.watch.cancel()
+            self.watch = None
         if self.watch is None:
             self.watch = asyncio.create_task(self._watch())
 
-    def move(self, address: str) -> None:
-        """Ask at another address, at once and from the list held: its news soon counts as told."""
-        if address != self.address:
-            self.address = address
-            if self.watch is not None:
-                self.watch.cancel()
-            self.watch = asyncio.create_task(self._watch())
+    def move(self, address: str) -> bool:
+        """Ask at another address from the next call on; tells whether it is another."""
+        moved, self.address = address != self.address, address
+        return moved
 
     async def _watch(self) -> None:
         try:
@@ -118,10 +119,11 @@
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
         # guards against a discovery that has gone silent: what it has to tell counts as told soon after
+        self.asked = self.address
         async with asyncio.timeout(WATCH_WAIT + ANSWER_MARGIN):
-            reader, writer = await asyncio.open_connection(*address_of(self.address))
+            reader, writer = await asyncio.open_connection(*address_of(self.asked))
             try:
-                client = HttpClient(self.address, MAX_LIST)
+                client = HttpClient(self.asked, MAX_LIST)
                 target = f"/registry/instances?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
                 writer.write(client.request("GET", target, [(b"Connection", b"close")]))
                 response = None
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -128,6 +128,9 @@
     def list_failed(self) -> None:
         self.post(api.ServerList(api.ListKind.FAILED))
 
+    def discovery_moved(self) -> None:
+        self.post(api.ServerList(api.ListKind.MOVED))
+
     def list_told(self, kind: api.ListKind, members: list[Member]) -> None:
         """Take a list or its changes."""
         if kind is not api.ListKind.DELTA:
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -33,6 +33,7 @@
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 FAULTY = 3  # failures in a row that are no chance; from then on one trial every SILENCE
 CALL = 0.125  # seconds for each router's call: forty at once had sixteen answered in the 2 s they may wait
+MOVE = 1.0  # seconds for all to ask a new discovery: old watches last 1.5, news counts as told after 4
 ASK = 0.5  # of the time by which all must have asked: a call that fails leaves time for another
 EASE = (
     0.5  # of its points that a server keeps when found ailing: one that does a tenth is there in four rounds
@@ -98,6 +99,10 @@
         if event.kind is api.ListKind.FAILED:
             self._ask_list_later()
             return
+        if event.kind is api.ListKind.MOVED:
+            # guards the new discovery: all routers may be told at once, and the old watches last a while
+            self.out.append(api.SetTimer(MOVE * self.random.random(), "list"))
+            return
         if event.kind is not api.ListKind.DELTA:
             for i in self.servers.keys() - {e.server for e in event.entries}:
                 self._drop(i)
