Answer all that is held before the end that SIGKILL sets, and clients still in the queue

Lines at fault: __main__.LONGEST_END, a constant (3.0) that knows nothing of the settings, and Listener.stop, which drops what is open when it is over, untold to the module. SIGKILL comes at the longest deadline, counted as 3 s at most, and 0.7 s: earlier than the old end where deadlines are short. The module is now told that the end is near (`Ending`), which is a deadline for all.

Found on the same lines: closing the listener reset what the system had accepted and the loop had not, and cancelling the accepting task lost a socket it had just been given. What has connected is accepted first now.

Ruled out: connections closed while a command was on its way (the probe found nothing readable and no half command on any of them); the deadline itself (none had passed).

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -24,7 +24,10 @@
 from brackenwalk.settings import number, read_settings, section
 
 STILL_COMING = 0.5  # seconds after SIGTERM in which new connections come: 0.2 to 0.4, and a little more
-LONGEST_END = 3.0  # seconds after those until all deadlines are past; SIGKILL may come 0.2 s later
+# SIGKILL comes after the longest deadline and 0.7 s; a longer deadline than this one counts as this one
+COUNTED = 3.0
+ANSWERED = 0.4  # seconds after it by which all are answered: those that came last have their time as well
+CLOSED = 0.6  # seconds after it by which the program ends
 RESERVE = 32  # descriptors for the loop, the log, the listener and discovery
 
 
@@ -147,7 +150,9 @@
     logging.info("listening on %s:%d", *listener.socket.getsockname())
     await terminated.wait()
     logging.info("ending: no new connections in %g s", STILL_COMING)
-    await listener.stop(STILL_COMING, LONGEST_END)
+    longest = min(COUNTED, max(c.give_up for c in settings.classes.values()))
+    host.ending(longest + ANSWERED)
+    await listener.stop(STILL_COMING, longest + CLOSED - STILL_COMING)
     discovery.close()
     if peers is not None:
         peers.close()
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -81,6 +82,7 @@
     group: Group = Group.ALL
     window: float = 0.0
     worth: float = 1.0
+    give_up: float = math.inf  # the longest that a client waits
 
 
 @dataclass(slots=True, frozen=True)
@@ -175,6 +177,13 @@
     request: str
 
 
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """The router has been told to end: every request must have its final answer within `time_left`."""
+
+    time_left: float
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer set earlier is due."""
@@ -189,7 +198,7 @@
     content: bytes
 
 
-Event = PeerMessage | ServerList | Request | Streaming | Outcome | ClientGone | TimerFired
+Event = PeerMessage | ServerList | Request | Streaming | Outcome | ClientGone | Ending | TimerFired
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -157,6 +157,8 @@
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.accepting: asyncio.Task[None] | None = None
+        self.acceptable = asyncio.Event()  # a client has come, or none will be waited for
+        self.stopping = False
 
     def start(self, address: tuple[str, int]) -> None:
         """Listen and accept."""
@@ -167,10 +169,25 @@
         self.accepting = asyncio.create_task(self._accept())
 
     async def _accept(self) -> None:
+        """Accept for ever; once stopping, until the system holds no client that has connected already."""
         loop = asyncio.get_running_loop()
         while True:
             try:
-                client, _ = await loop.sock_accept(self.socket)
+                client, _ = self.socket.accept()
+            except BlockingIOError:
+                if self.stopping:
+                    return
+                self.acceptable.clear()
+                loop.add_reader(self.socket, self.acceptable.set)
+                await self.acceptable.wait()
+                loop.remove_reader(self.socket)
+                continue
+            except OSError as e:
+                log.warning("accept: %s", e)
+                await asyncio.sleep(ACCEPT_PAUSE)
+                continue
+            try:
+                client.setblocking(False)
                 connection = ClientConnection(self.host, self)
                 await loop.connect_accepted_socket(lambda c=connection: c, client)  # type: ignore[misc]
             except OSError as e:
@@ -181,7 +198,7 @@
 
     async def _make_room(self, newest: ClientConnection) -> None:
         """Guards the descriptors: the newest client costs an idle one, or waits until there is one."""
-        while len(self.connections) > self.budget:
+        while len(self.connections) > self.budget and not self.stopping:
             self.changed.clear()
             idle = next((c for c in self.connections if c is not newest and c.idle()), None)
             if idle is not None:
@@ -196,11 +213,14 @@
     async def stop(self, still_coming: float, longest: float) -> None:
         """Accept for a while longer, then no more; end when nothing is owed to any client."""
         await asyncio.sleep(still_coming)
-        if self.accepting is not None:
-            self.accepting.cancel()
-        self.socket.close()
+        self.stopping = True
+        self.acceptable.set()
+        self.changed.set()
         with suppress(TimeoutError):
             async with asyncio.timeout(longest):
+                if self.accepting is not None:
+                    await self.accepting
+                self.socket.close()
                 while self.connections:
                     self.changed.clear()
                     for connection in list(self.connections):
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -54,6 +54,7 @@
     sent: int = 0  # attempts, whatever became of them
     closed: bool = False  # answered, or its client is gone
     overdue: bool = False
+    timer: asyncio.TimerHandle | None = None  # at the deadline
     attempts: dict[int, Attempt] = field(default_factory=dict)
 
 
@@ -80,6 +81,7 @@
         self.router = Router(settings, seed, self.clock.now())
         self.members: dict[str, Member] = {}
         self.requests: dict[str, Taken] = {}
+        self.end = math.inf  # the deadline of all
         self.events: deque[api.Event] = deque()
         self.handling = False
 
@@ -160,9 +162,10 @@
         # guards the table: two requests under one id would get each other's answers
         if name in self.requests:
             return None
-        time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
-        self.requests[name] = Taken(command, self.clock.now() + time_left, answer)
-        asyncio.get_running_loop().call_later(time_left, self._overdue, name)
+        now = self.clock.now()
+        time_left = max(0.0, min(command.deadline_ms / 1000 - DEADLINE_MARGIN, self.end - now))
+        taken = self.requests[name] = Taken(command, now + time_left, answer)
+        taken.timer = asyncio.get_running_loop().call_later(time_left, self._overdue, name)
         hint = command.info.get("h", "")
         request = api.Request(
             name,
@@ -182,6 +185,16 @@
             self._settle(taken, name)
             self.post(api.ClientGone(name))
 
+    def ending(self, time_left: float) -> None:
+        """This process ends by then: nobody would answer what is still open."""
+        self.end = self.clock.now() + time_left
+        for name, taken in self.requests.items():
+            if taken.deadline > self.end and taken.timer is not None:
+                taken.deadline = self.end
+                taken.timer.cancel()
+                taken.timer = asyncio.get_running_loop().call_later(time_left, self._overdue, name)
+        self.post(api.Ending(time_left))
+
     def _overdue(self, name: str) -> None:
         """The deadline: attempts still out time out, and an ended request is forgotten."""
         taken = self.requests[name]
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -71,6 +71,7 @@
         self.retries, self.keep, self.mean_eased, self.level = RETRIES_SAVED, KEEP, 1.0, 1.0
         self.bold = 1.0  # times what is stated that cold servers take, so that the warm are as busy as they
         self.born = self.tell_at = now
+        self.end_at = math.inf  # by then all are answered
         self._build_ring()
         self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
         self.good = 1.0  # smoothed share of attempts at caches that were answered well
@@ -94,8 +95,18 @@
             self._forget(self.held[event.request])
         elif isinstance(event, api.Streaming) and event.request in self.held:
             self.held[event.request].streaming = True
+        elif isinstance(event, api.Ending):
+            self._on_ending(event)
         return self.out
 
+    def _on_ending(self, event: api.Ending) -> None:
+        """Wait for nothing that would come after the end."""
+        self.end_at = self.now + event.time_left - self.settings.tick
+        for held in self.held.values():
+            held.until = min(held.until, self.end_at)
+            if held.waiting:
+                self._wake_in_time(held)
+
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             self._ask_list_later()
@@ -311,7 +322,7 @@
     def _on_request(self, request: api.Request) -> None:
         unknown = api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
         kind = self.settings.classes.get(request.request_class, unknown)
-        until = self.now + min(request.time_left - self.settings.tick, kind.aim)
+        until = min(self.end_at, self.now + min(request.time_left - self.settings.tick, kind.aim))
         position = ring_hash(request.request if request.key is None else request.key)[0]
         to_origin = self.settings.aside and request.write
         held = self.held[request.request] = Held(request, kind, until, to_origin, position)
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from brackenwalk import interface as api
@@ -63,6 +64,7 @@
         group=choice(row, "group", "cell", groups, where),
         window=number(row, "repeatWindow", 0.0, where),
         worth=number(row, "value", 1.0, where),
+        give_up=number(row, "giveUp", math.inf, where),
     )
 
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -177,6 +177,44 @@
     run(scenario)
 
 
+def test_a_hung_server_does_not_outlast_the_end(tmp_path: Path) -> None:
+    """SIGKILL comes by the longest deadline of the settings: until then all must have had their answers."""
+
+    async def scenario() -> None:
+        async with Peer() as cache, Peer() as discovery:
+            line = {**LINE, "address": cache.address, "type": "std", "since_ms": 0}
+            classes = [{**CONF["classes"][0], "giveUp": 0.3}, *CONF["classes"][1:]]
+            config = {**GOOD, "listen": "127.0.0.1:0", "discovery": discovery.address}
+            config["settings"] = {**CONF, "classes": [{**c, "giveUp": 0.3} for c in classes]}
+            config["known"] = {"index": 1, "snapshot": True, "endpoints": [line]}
+            path = tmp_path / "config.json"
+            path.write_bytes(orjson.dumps(config))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "brackenwalk",
+                env={**os.environ, "RELAY_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            try:
+                address = await listening(process.stderr)
+                clients = [await ready(address) for _ in range(3)]
+                for i, client in enumerate(clients):
+                    client.write(read(f"r{i}", info=f"c={classes[i % len(classes)]['name']},d=60000"))
+                    await (await cache.link()).resp()
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGTERM)
+                async with asyncio.timeout(3.0):  # three times as long as until SIGKILL
+                    for client in clients:
+                        assert isinstance(await client.resp(), Exception) and await client.ended()
+                assert await process.wait() == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+
+    run(scenario)
+
+
 def test_lists_of_a_thousand_are_taken_whole(tmp_path: Path) -> None:
     """A thousand servers and as many routers: it starts, serves, hears of changes and stays small."""
 
