Ask again for a pushed list at once, and find a silent watch before its news counts as told

Lines at fault: Router._ask_list_later waits for `fall_window` at the least, the window in which a cold server falls, and doubles up to the ramp, neither of which says anything of lists; discovery.WATCH_WAIT and its margin are 6 s, just when what a silent watch missed counts as told. A pushed list comes from an agent of the router's own: it is asked for again after 1/8 s, and at half the drain grace at most. One that is asked for is shared: all have their turn as before, and the pause grows to half the time in which each must have asked, or to what a failed call leaves. A watch is found silent after 5 s.

Ruled out: a drain that was told and not taken (the break comes 0.55 to 0.72 s after, the new list stops it); calls that fail for other reasons (none in the logs).

The test of a watch's first call pins the wait in its path, 3000 now. New tests fail on the old code.

--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -110,6 +110,7 @@
     ramp: float = 10.0
     fall_multiple: float = 2.0
     fall_window: float = 1.0
+    drain_grace: float = 1.0  # from then on nothing may go to a server that is told to drain
     must_ask_in: float = 10.0  # a router that has not asked for as long counts as told what was listed then
 
 
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -17,7 +17,8 @@
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 MAX_LIST = 4 * 1024 * 1024
-WATCH_WAIT = 4.0  # with the margin, 6 s: by then news that did not arrive counts as told
+# with the margin, 5 s: after 6 s news that did not arrive counts as told, and a new call takes time as well
+WATCH_WAIT = 3.0
 ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting in turn before that
 # after an answer with no news, so that an agent that never waits is not asked in a spin; a call more than
 # 200 ms after the last answer would be a new watch, in turn with all others
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -35,6 +35,7 @@
 CALL = 0.125  # seconds for each router's call: forty at once had sixteen answered in the 2 s they may wait
 MOVE = 1.0  # seconds for all to ask a new discovery: old watches last 1.5, news counts as told after 4
 ASK = 0.5  # of the time by which all must have asked: a call that fails leaves time for another
+FAILED_ASK = 4  # times as long may pass until the next call after one that failed
 EASE = (
     0.5  # of its points that a server keeps when found ailing: one that does a tenth is there in four rounds
 )
@@ -143,10 +144,11 @@
     def _ask_list_later(self) -> None:
         """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
         self.list_failures += 1
-        least = max(
-            self.settings.fall_window, self.settings.siblings * self.turn
-        )  # until all have had their turn
-        pause = min(self.settings.ramp, least * 2.0 ** (self.list_failures - 1))
+        least, longest = CALL, self.settings.drain_grace / 2  # what is pushed, an agent of our own holds
+        if self.settings.subscribe:
+            least = self.settings.siblings * self.turn  # until all have had their turn
+            longest = max(ASK * self.settings.must_ask_in, FAILED_ASK * least)
+        pause = min(longest, least * 2.0 ** min(16, self.list_failures - 1))
         self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
         self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
 
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -101,5 +101,6 @@
         ramp=number(rules, "rampTime", 10.0, "rules."),
         fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
         fall_window=number(rules, "overloadFor", 1.0, "rules."),
+        drain_grace=number(rules, "stopSendingWithin", 1.0, "rules."),
         must_ask_in=number(rules, "mustAskIn", 10.0, "rules."),
     )
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -80,7 +80,7 @@
         async with Peer() as peer:
             told = Told(peer)
             first, link = await call(peer)
-            assert first == "GET /registry/instances?after=41&wait_ms=4000 HTTP/1.1"
+            assert first == "GET /registry/instances?after=41&wait_ms=3000 HTTP/1.1"
             link.write(http("200 OK", message(43, False, {**LINE, "status": "terminating"})))
             kind, (member,) = await told.news.get() or pytest.fail()
             assert kind is api.ListKind.DELTA and member.entry.state is api.State.DRAINING
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,6 +12,7 @@
 
 from brackenwalk import interface as api
 from brackenwalk import policy, state
+from brackenwalk.net import discovery
 from brackenwalk.policy import Router
 from brackenwalk.ring import ring_hash
 from tests.driver import Driver, entry, settings
@@ -217,6 +218,31 @@
     assert min(pauses) > 2.0 and max(pauses) <= 5.0 and max(pauses) - min(pauses) > 1.5
 
 
+def pauses_after_failures(conf: api.Settings, count: int) -> list[float]:
+    d, pauses = Driver(conf), []
+    for _ in range(count):
+        (timer, _) = d.feed(api.ServerList(api.ListKind.FAILED))
+        assert isinstance(timer, api.SetTimer)
+        pauses.append(timer.delay)
+    return pauses
+
+
+@pytest.mark.parametrize("siblings", [1, 6, 230])
+def test_a_pushed_list_is_asked_for_again_well_within_the_grace(siblings: int) -> None:
+    """What the agent has counts as told: a pause of half a ramp broke the rule on drains."""
+    conf = settings(siblings=siblings, drain_grace=0.5, fall_window=3.0, ramp=23.0)
+    pauses = pauses_after_failures(conf, 20)
+    assert pauses[0] <= policy.CALL and max(pauses) <= 0.25
+
+
+def test_few_routers_ask_again_before_silence_counts_as_told() -> None:
+    """The window of cold servers said how long to wait: news came after it counted as told."""
+    conf = settings(subscribe=True, siblings=6, fall_window=3.0, ramp=60.0, must_ask_in=10.0)
+    pauses = pauses_after_failures(conf, 20)
+    assert discovery.WATCH_WAIT + discovery.ANSWER_MARGIN + pauses[0] < 6.0
+    assert max(pauses) <= 5.0
+
+
 def test_warming_server_gets_its_share_and_not_more() -> None:
     """A surge of a thousand requests in a second just after a start: not the full arcs."""
     d = Driver(settings(ramp=10.0, cold_share=0.3, fall_multiple=2.0, fall_window=1.0))
