Send nothing on a connection that comes up late once the list or the window forbids it

Found by reading, shown with real connections: Pool._dial writes the request whenever the dial ends. A server that was told to drain, was gone, had moved or had started again meanwhile was sent to all the same (four tests, each with a dial that is held back while the list is told; all fail on the old code); a keyed write was sent again up to one dial's time after its repeat window, as Router._permits counts from the decision; `d` told the time from before the dial; an exception other than OSError left an attempt without an outcome.

Mended where each lies: Host.list_told ends what is not written yet, as never sent, and the module chooses again; the window leaves time for a dial; the pool takes what the dial took off `d`.

--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -40,6 +40,7 @@
 
     number: int
     sent_at: float
+    to: Member | None = None  # as listed then
     exchange: Exchange | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -144,6 +145,19 @@
             else:
                 self.members[name] = member
         self.post(api.ServerList(kind, tuple(m.entry for m in members)))
+        for taken in list(self.requests.values()):
+            for attempt in list(taken.attempts.values()):
+                # guards drains: a connection that comes up late would still carry what nobody may send by now
+                if attempt.exchange is not None and attempt.exchange.unsent() and self._outdated(attempt):
+                    self._give_up(taken, attempt, api.Status.MOOT)
+
+    def _outdated(self, attempt: Attempt) -> bool:
+        """Whether the list tells of its server that it drains, is gone or has started again."""
+        then = attempt.to
+        now = self.members.get(then.entry.server) if then is not None else None
+        if then is None or now is None or not now.entry.ready:
+            return True
+        return (now.entry.since, now.address) != (then.entry.since, then.address)
 
     def _is_origin(self, member: Member) -> bool:
         return self.settings.aside and member.entry.kind == self.settings.origin_kind
@@ -250,8 +264,9 @@
         def done(status: api.Status, value: bytes) -> None:
             self._finish(taken, attempt, status, value)
 
-        address = self.members[action.server].address
-        attempt.exchange = self._pool(action.server).start(address, taken.command, time_left, done)
+        attempt.to = self.members[action.server]
+        pool, address = self._pool(action.server), attempt.to.address
+        attempt.exchange = pool.start(address, taken.command, time_left, done)
 
     def _cancel(self, action: api.Cancel) -> None:
         taken = self.requests.get(action.request)
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -46,7 +46,7 @@
 
     def __init__(self, command: Command, time_left: float, done: Callable[[Status, bytes], None]) -> None:
         self.command = command
-        self.time_left = time_left
+        self.until = asyncio.get_running_loop().time() + time_left
         self.done = done
         self.open = True
         self.dial: asyncio.Task[None] | None = None
@@ -106,7 +106,8 @@
         self.exchange = exchange
         self.written = False
         try:
-            data = self.encode(exchange.command, exchange.time_left)
+            left = exchange.until - asyncio.get_running_loop().time()  # less what the dial took
+            data = self.encode(exchange.command, left)
         except Exception:
             # guards the router: what can't be sent costs its connection, and the attempt ends at once
             log.exception("request to %s", self.address)
@@ -191,7 +192,10 @@
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: self.make(self, address), *address_of(address)
                 )
-        except OSError:  # a time-out is one
+        except Exception as e:
+            if not isinstance(e, OSError):  # a time-out is one
+                # guards the request: an address that can't be used would leave it without an outcome
+                log.error("dial to %s: %r", address, e)
             exchange.finish(Status.CONNECT_FAILED)
             return
         exchange.dial = None
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -362,7 +362,8 @@
             return True
         if kind.effect is api.Effect.UNSAFE or server is None:
             return kind.effect is api.Effect.KEYED and kind.group is api.Group.ALL
-        in_window = self.now < min(a.sent_at for a in ran) + kind.window
+        # guards against a second effect: a connection may have to come up first
+        in_window = self.now + self.settings.dial_timeout < min(a.sent_at for a in ran) + kind.window
         return in_window and all(kind.group.joins(a.server.entry, server.entry) for a in ran)
 
     def _advance(self, held: Held) -> None:
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -14,7 +14,21 @@
 from brackenwalk.net import clients
 from brackenwalk.net import host as hosts
 from brackenwalk.net.clients import MAX_COMMAND, MAX_PIPELINED
-from tests.loopback import HIT, MISS, PATIENCE, SETTINGS, Link, Peer, Router, book, command, http, read, run
+from tests.loopback import (
+    HIT,
+    MISS,
+    PATIENCE,
+    SETTINGS,
+    Link,
+    Peer,
+    Router,
+    book,
+    command,
+    http,
+    member,
+    read,
+    run,
+)
 
 
 def error(message: object) -> str:
@@ -567,6 +581,51 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("news", ["drains", "is gone", "has moved", "started again"])
+def test_a_connection_that_comes_up_late_carries_nothing_to_a_server_that(
+    news: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The request was written whenever the dial ended, whatever the list had told since."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            loop, gate = asyncio.get_running_loop(), asyncio.Event()
+            router.list("a")
+            client = await router.client()
+            connect, held = loop.create_connection, 0
+
+            async def held_back(*args: Any) -> Any:
+                nonlocal held
+                held += 1
+                if held == 1:
+                    await gate.wait()
+                return await connect(*args)
+
+            monkeypatch.setattr(loop, "create_connection", held_back)
+            client.write(read("r1"))
+            while not held:
+                await asyncio.sleep(0)
+            known, other = router.host.members["a"], router.caches["b"].address
+            changed = {
+                "drains": replace(known, entry=replace(known.entry, state=api.State.DRAINING)),
+                "is gone": replace(known, entry=replace(known.entry, state=api.State.GONE)),
+                "has moved": replace(known, address=other),
+                "started again": replace(known, entry=replace(known.entry, since=1.0)),
+            }[news]
+            router.host.list_told(api.ListKind.DELTA, [changed, member("b", other)])
+            second = await router.caches["b"].link() if news != "started again" else await router.cache()
+            assert (await second.resp())[2] == b"r1"
+            gate.set()
+            second.write(HIT)
+            assert await client.resp() == b"value"
+            while router.servers.dials:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.05)  # for a connection that has been made to reach the server's end
+            assert router.caches["a"].links.empty() and router.caches["b"].links.empty()
+
+    run(scenario)
+
+
 def test_clients_that_have_connected_are_served_when_accepting_ends() -> None:
     """The system had accepted them: closed with the listener they were reset, and what they sent was lost."""
 
