--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -204,6 +204,7 @@
                     await (await cache.link()).resp()
                 process.send_signal(signal.SIGTERM)
                 process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
                 async with asyncio.timeout(3.0):  # three times as long as until SIGKILL
                     for client in clients:
                         assert isinstance(await client.resp(), Exception) and await client.ended()
