--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -40,7 +40,7 @@
     def __init__(self, host: Host, listener: Listener) -> None:
         self.host = host
         self.listener = listener
-        self.reader = Reader()
+        self.reader = Reader(parts=b":-$")  # a simple string as a part would pass for a bulk string
         self.held_back = 0  # bytes since the last whole command
         self.slots: deque[Slot] = deque()
         self.reading = True
--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -11,6 +11,7 @@
 from brackenwalk.net.pool import Answer, Connection, MalformedAnswer, Pool
 from brackenwalk.net.resp import NOT_YET, Reader
 
+PARTS = 3  # of an answer
 MAX_ANSWER = MAX_VALUE + 4096  # the value and what stands round it
 
 
@@ -19,7 +20,7 @@
 
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
-        self.reader = Reader()
+        self.reader = Reader(tops=b"*-", parts=b"$")
         self.received = 0
 
     def encode(self, command: Command, time_left: float) -> bytes:
@@ -41,14 +42,14 @@
         if reply is NOT_YET:
             return None
         if isinstance(reply, hiredis.ReplyError):
-            return (Status.FULL if str(reply).split(" ")[0] == "BUSY" else Status.ERROR), b""
-        if not isinstance(reply, list) or not reply:
+            word = str(reply).split(" ")[0]
+            if word not in ("BUSY", "ERR"):
+                raise MalformedAnswer(repr(reply)[:80])
+            return (Status.FULL if word == "BUSY" else Status.ERROR), b""
+        # the value or receipt, how it went, the load report: each may be null
+        if not isinstance(reply, list) or len(reply) != PARTS:
             raise MalformedAnswer(repr(reply)[:80])
-        if reply[0] is None:
-            return Status.MISS, b""
-        if not isinstance(reply[0], bytes):
-            raise MalformedAnswer(repr(reply)[:80])
-        return Status.OK, reply[0]
+        return (Status.MISS, b"") if reply[0] is None else (Status.OK, reply[0])
 
     def reusable(self) -> bool:
         return self.reader.clear()
