--- /dev/null
+++ b/fleetlab/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, from the protocol page: discovery, cache servers, origin, clients, the network of peers."""
