Give what servers take and what peers are told files of their own, behaviour unchanged

Shares (shares.py) holds what each server keeps of its points, how cold it counts and the plan for hot keys; Telling (telling.py) holds the news for peers and when it is told. `Router.handle` stays the only way in.

--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -113,6 +113,11 @@
     drain_grace: float = 1.0  # from then on nothing may go to a server that is told to drain
     must_ask_in: float = 10.0  # a router that has not asked for as long counts as told what was listed then
 
+    @property
+    def shortest_aim(self) -> float:
+        """Seconds in which answers are wanted by the class in the most haste."""
+        return min(c.aim for c in self.classes.values())
+
 
 @dataclass(slots=True, frozen=True)
 class ServerEntry:
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -12,18 +12,18 @@
 from collections.abc import Iterator
 
 from brackenwalk import interface as api
-from brackenwalk.demand import HOT, NAMES, Demand
+from brackenwalk.demand import HOT
 from brackenwalk.ring import Ring, ring_hash
-from brackenwalk.state import Attempt, Held, Server, Zone
+from brackenwalk.shares import ASK, CACHE_TARGET, EPSILON, Shares
+from brackenwalk.state import Attempt, Held, Server
+from brackenwalk.telling import Telling
 
 POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
-EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
 WALK = 64  # points a walk goes at most: no tour of the fleet for each request when all is crowded
 ROOM = 0.3  # of own attempts answered well: above it a refusal as full, being cheap, spends no retry
 QUEUE = 0.25  # of the time left that may be spent waiting behind what a server is reported to hold
 SPILL = 2  # servers a key may visit: further on they lack it, and a crowd of hits would turn into misses
-CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
-ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
+ORIGIN_TARGET = 0.5  # of the aim, as CACHE_TARGET: the origin is slow by nature
 FETCH_ROOM = 2.0  # times the usual latency that must be left: a fetch given up midway is not even stored
 SMOOTHING = 0.2  # of the latest sample in a mean; five answers or so are remembered
 LIMIT_CUT = 0.75  # soon enough to empty a crowded server within a few rounds; a tenth took many seconds
@@ -34,15 +34,8 @@
 FAULTY = 3  # failures in a row that are no chance; from then on one trial every SILENCE
 CALL = 0.125  # seconds for each router's call: forty at once had sixteen answered in the 2 s they may wait
 MOVE = 1.0  # seconds for all to ask a new discovery: old watches last 1.5, news counts as told after 4
-ASK = 0.5  # of the time by which all must have asked: a call that fails leaves time for another
 FAILED_ASK = 4  # times as long may pass until the next call after one that failed
-EASE = (
-    0.5  # of its points that a server keeps when found ailing: one that does a tenth is there in four rounds
-)
-EASE_GAIN = 0.1  # of its points that come back each second: time for the queue of a crowd to be worked off
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
-TELL = 0.25  # shortest aims between two messages to the peers: a hot key is known well within one
-TELLERS = 40  # routers whose requests tell what is hot; of more each tells a part, as each is heard by all
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 
@@ -52,34 +45,30 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.settings = settings
-        self.shortest_aim = min(c.aim for c in settings.classes.values())
+        self.shortest_aim = settings.shortest_aim
         self.now, self.random = now, random.Random(seed)
         self.out: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.named: dict[int, Server] = {}  # as peers name them
         self.ring: Ring[Server] = Ring()
         self.turn = min(CALL, ASK * settings.must_ask_in / settings.siblings)  # for each router's call
-        self.told = min(1.0, TELLERS / settings.siblings)  # part of own requests that peers are told of
-        self.demand = Demand(self.told)
-        self.ailing: dict[Server, None] = {}  # and peers not told yet
-        self.portions: dict[int, dict[Server, float]] = {}  # of a hot key's share, at the servers it takes
-        self.zones: dict[str, Zone] = {}
+        self.telling = Telling(settings, self.random, now)
+        self.demand = self.telling.demand
+        self.shares = Shares(settings, self.demand, now)
         self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: list[tuple[float, int, Held]] = []  # for the origin, or any server: worth, then age
         self.queued = self.taken = self.list_failures = 0
-        self.retries, self.keep, self.mean_eased, self.level = RETRIES_SAVED, KEEP, 1.0, 1.0
-        self.bold = 1.0  # times what is stated that cold servers take, so that the warm are as busy as they
-        self.born = self.tell_at = now
+        self.retries, self.keep = RETRIES_SAVED, KEEP
+        self.born = now
         self.end_at = math.inf  # by then all are answered
         self._build_ring()
         self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
-        self.good = 1.0  # smoothed share of attempts at caches that were answered well
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event and answer with actions, to be carried out in order."""
-        self.now, self.out = now, []
+        self.now, self.shares.now, self.out = now, now, []
         if isinstance(event, api.Outcome):
             self._on_outcome(event)
         elif isinstance(event, api.Request):
@@ -91,7 +80,7 @@
         elif isinstance(event, api.PeerMessage):
             for name in self.demand.hear(event.content):
                 if name in self.named:
-                    self._ease(self.named[name])
+                    self.shares.ease(self.named[name])
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
         elif isinstance(event, api.Streaming) and event.request in self.held:
@@ -157,13 +146,13 @@
             server = self.servers.pop(name)
             self.ring.place(server, name, 0)
             self.named.pop(server.name, None)
-            self.ailing.pop(server, None)
+            self.telling.drop(server)
 
     def _build_ring(self) -> None:
         """Points follow the size of a server alone, so that others coming or going move none of them."""
         caches = self.caches = [s for s in self.servers.values() if s.cache and s.entry.ready]
         self.origins = [s for s in self.servers.values() if not s.cache and s.entry.ready]
-        self.zones = {s.entry.zone: self.zones.get(s.entry.zone, Zone()) for s in caches}
+        self.shares.take(caches)
         for s in caches:
             s.size = s.entry.weight
             if self.settings.live_weights:
@@ -176,7 +165,7 @@
             s.size = s.size or largest
             self.ring.place(s, s.entry.server, math.ceil(POINTS * s.size / unit) if s in caches else 0)
         self.ring.settle()
-        self.total_size = sum(s.size for s in caches)
+        self.shares.total_size = sum(s.size for s in caches)
         self.mean_reported = sum(s.reported for s in caches) / max(1, len(caches))
 
     def _origin(self) -> Server | None:
@@ -185,7 +174,7 @@
 
     def _choose(self, held: Held) -> Server | None:
         """The bounded walk: a key's load flows clockwise, and each server keeps (1 + epsilon) fair shares."""
-        portions = self.portions.get(held.position >> 32, {})
+        portions = self.shares.portions.get(held.position >> 32, {})
         planned = sum(portions.values())
         flow = self.random.random() * planned
         cap = (1 + EPSILON) * max(1.0, self.mean_reported)  # passed by chance: all read the same late report
@@ -195,12 +184,12 @@
             if self._eligible(held, server):
                 portion = portions.get(server, 0.0)
                 flow -= portion
-                takes = not self._cold(server) or self._takes(
+                takes = not self.shares.cold(server) or self._takes(
                     held, server, portion / planned if portion else 1.0
                 )
                 if flow <= 0 and takes and server.reported * self.random.random() <= cap:
                     return server
-                best = best or (None if self._cold(server) else server)
+                best = best or (None if self.shares.cold(server) else server)
             elif server.load >= server.limit and server not in portions and not self._silent(server):
                 crowded += 1
                 if crowded >= SPILL:
@@ -210,9 +199,9 @@
     def _takes(self, held: Held, server: Server, planned: float) -> bool:
         """Whether a cold server takes this of its part: no retries, nor what others have no place for."""
         key = held.position >> 32
-        part = self._bears(key, server) / planned  # of the part that it is planned to get
+        part = self.shares.bears(key, server) / planned  # of the part that it is planned to get
         # guards the origin: split by chance, each small key would be fetched for two servers
-        small = self.demand.share(key) < HOT * server.size / self.total_size
+        small = self.demand.share(key) < HOT * server.size / self.shares.total_size
         draw = (held.position & 0xFFFFFFFF) / 2**32 if small else self.random.random()
         held.spared = bool(held.attempts) or draw >= part
         return not held.spared
@@ -222,7 +211,7 @@
         passed: set[Server] = set()
         for server, rank in self.ring.clockwise(position, WALK):
             # all leave out the same points of one that ails; none spills to a cold one
-            if server in passed or rank > self._kept(server) or (passed and self._cold(server)):
+            if server in passed or rank > self.shares.kept(server) or (passed and self.shares.cold(server)):
                 continue
             passed.add(server)
             yield server
@@ -244,83 +233,26 @@
 
     def _cut_off(self, server: Server) -> bool:
         """Whether the server's zone gives no sign of life; then one trial every SILENCE, as with a server."""
-        zone = self.zones.get(server.entry.zone) if len(self.zones) > 1 else None
+        zone = self.shares.zones.get(server.entry.zone) if len(self.shares.zones) > 1 else None
         if zone is None or zone.unheard < FAULTY:
             return False
         return self.now - zone.tried_at < SILENCE * self.shortest_aim
 
     def _unheard(self, attempt: Attempt) -> None:
         """Count an attempt that came to nothing while its whole zone said nothing."""
-        zone = self.zones.get(attempt.server.entry.zone) if attempt.server.cache else None
+        zone = self.shares.zones.get(attempt.server.entry.zone) if attempt.server.cache else None
         if zone is not None and zone.heard_at < attempt.sent_at and not attempt.unheard:
             attempt.unheard = True
             zone.unheard += 1
 
     def _found_ailing(self, server: Server) -> None:
-        self.ailing[server] = None
-        self._ease(server)
-
-    def _ease(self, server: Server) -> None:
-        """Cut what all routers send to an ailing server: each alone has too little out there to ease it."""
-        if server.cache and self.now - server.eased_at > CACHE_TARGET * self.shortest_aim:
-            server.eased, server.eased_at = EASE * self._eased(server), self.now
-
-    def _eased(self, server: Server) -> float:
-        """What is left of a server's points, or has come back to it."""
-        return min(1.0, server.eased + EASE_GAIN * (self.now - server.eased_at))
-
-    def _kept(self, server: Server) -> float:
-        """Share of its points that an ailing server keeps; where all ail alike they keep all."""
-        return min(1.0, self._eased(server) / self.mean_eased)
+        self.telling.found(server)
+        self.shares.ease(server)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
         return self.now - server.quiet_since > SILENCE * self.shortest_aim
 
-    def _started(self, server: Server) -> float:
-        """When a server started as far as is known; 0 is long ago.
-
-        One whose zone was lost and is back may have started again, which the list tells later.
-        """
-        zone = self.zones.get(server.entry.zone)
-        lost = zone is not None and server.entry.since < zone.lost_at
-        if zone is not None and lost and self.now - zone.back_at < ASK * self.settings.must_ask_in:
-            return zone.back_at
-        return server.entry.since
-
-    def _cold(self, server: Server) -> bool:
-        """Whether a server still warms up."""
-        started = self._started(server)
-        return started > 0 and self.now - started < self.settings.ramp
-
-    def _stated(self, server: Server) -> float:
-        """Share of its work that a server can do at the least, by the stated warm-up."""
-        if not self._cold(server):
-            return 1.0
-        age = max(0.0, self.now - self._started(server))
-        return self.settings.cold_share + (1 - self.settings.cold_share) * age / self.settings.ramp
-
-    def _warm_share(self, server: Server) -> float:
-        """Part of its own requests that a server takes: what is stated, cut by our share of good answers."""
-        if not self._cold(server):
-            return 1.0
-        # guards against client retries, which multiply what is sent just when servers bear the least
-        return min(1.0, self.bold * self.level * self.good * self._stated(server))
-
-    def _bears(self, key: int, server: Server) -> float:
-        """The part of a key's requests that a server may take; one key fills no more than its fair share."""
-        if not self._cold(server):
-            return 1.0
-        fair = server.size / self.total_size
-        return self._warm_share(server) * min(1.0, fair / self.demand.share(key))
-
-    def _fair_shares(self) -> dict[Server, float]:
-        """Of all requests: cold servers have what they bear of theirs, the others all the rest."""
-        fair = {s: self._warm_share(s) * self._kept(s) * s.size / self.total_size for s in self.caches}
-        cold = sum(f for s, f in fair.items() if self._cold(s))
-        warm = sum(f for s, f in fair.items() if not self._cold(s))
-        return {s: f if self._cold(s) else f * (1 - cold) / warm for s, f in fair.items()}
-
     def _on_request(self, request: api.Request) -> None:
         unknown = api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
         kind = self.settings.classes.get(request.request_class, unknown)
@@ -331,23 +263,10 @@
         self.taken += 1
         if not held.to_origin:
             self.demand.add(held.position >> 32)
-        if self.now >= self.tell_at and self.caches:
-            self.tell_at = self.now + TELL * self.shortest_aim * self.random.uniform(0.5, 1.5)  # none in step
-            self.mean_eased = sum(s.size * self._eased(s) for s in self.caches) / self.total_size
-            # guards cold servers: they'd get more as others keep less
-            self.level = sum(s.size * self._kept(s) for s in self.caches) / self.total_size
-            able = sum(s.size * self._stated(s) for s in self.caches) / self.total_size
-            self.bold = min(self.settings.fall_multiple / 2, 1 / able if able else math.inf)
-            self.portions = self.demand.share_out(
-                self._fair_shares(), 1 + EPSILON, self._clockwise, self._bears
-            )
-            # guards against a price that grows with the square of the routers
-            wanted = bool(self.ailing) or self.random.random() < self.told
-            message = self.demand.message([s.name for s in self.ailing], self.settings.peers and wanted)
-            if message:
+        if self.caches and self.telling.due(self.now):
+            self.shares.plan(self._clockwise)
+            if message := self.telling.message():
                 self.out.append(api.Tell(message))
-            for server in list(self.ailing)[:NAMES]:  # the rest is for the next one
-                del self.ailing[server]
         self.retries = min(RETRIES_SAVED, self.retries + RETRY_SHARE)
         self._advance(held)
 
@@ -385,7 +304,7 @@
         held.attempts.append(attempt)
         server.load += 1
         server.quiet_since = min(server.quiet_since, self.now)
-        if server.cache and (zone := self.zones.get(server.entry.zone)) is not None:
+        if server.cache and (zone := self.shares.zones.get(server.entry.zone)) is not None:
             zone.tried_at = self.now
         self.out.append(api.Send(held.request.request, server.entry.server))
         self._look_again(held, attempt)
@@ -479,9 +398,9 @@
         if lost:
             self._unheard(attempt)
         elif event.status not in UNHEARD and event.status is not api.Status.RESET:
-            zone = self.zones.get(attempt.server.entry.zone)
+            zone = self.shares.zones.get(attempt.server.entry.zone)
             if zone is not None and attempt.server.cache:
-                if zone.unheard >= FAULTY and len(self.zones) > 1:
+                if zone.unheard >= FAULTY and len(self.shares.zones) > 1:
                     zone.lost_at, zone.back_at = zone.heard_at, self.now
                 zone.heard_at, zone.unheard = self.now, 0
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
@@ -504,7 +423,7 @@
             held.to_origin = True
         elif event.status is api.Status.ERROR and not self.settings.aside:
             held.until = self.now  # guards against a failing origin: each server tried fetches the key again
-        elif not held.to_origin and (event.status is not api.Status.FULL or self.good < ROOM):
+        elif not held.to_origin and (event.status is not api.Status.FULL or self.shares.good < ROOM):
             # guards against feeding an overload: full servers made every request into a dozen attempts
             held.until = held.until if self.retries >= 1 else self.now
             self.retries = max(0.0, self.retries - 1)
@@ -558,7 +477,7 @@
         if server.wrong >= FAULTY:
             self._found_ailing(server)
         if server.cache:
-            self.good += SMOOTHING * (well - self.good)
+            self.shares.good += SMOOTHING * (well - self.shares.good)
             self.wait += SMOOTHING * (event.latency / (1 + server.reported) - self.wait)
         if event.status is not api.Status.FULL:
             server.latency += SMOOTHING * (event.latency - server.latency)
