Take changes into the ring at the cost of what moved, not of the whole ring

Cause: `Ring.settle` built three lists of all points and sorted them anew for each version of the list that moved a server (ring.py, lines 49 to 60), and `_build_ring` looked for each server in the list of caches.

Change: the points of what moved leave and come in by binary search, and what stands between is copied in whole pieces.

Ruled out: hashing (16 digests a server), the host's own table.

Tests: rings that change step by step are compared with one built at once; one change costs under a tenth of a whole build, which fails on the old code.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -163,7 +163,9 @@
         unit = 2.0 ** math.ceil(math.log2(largest))  # rarely changes with the fleet
         for s in self.servers.values():
             s.size = s.size or largest
-            self.ring.place(s, s.entry.server, math.ceil(POINTS * s.size / unit) if s in caches else 0)
+            self.ring.place(
+                s, s.entry.server, math.ceil(POINTS * s.size / unit) if s.cache and s.entry.ready else 0
+            )
         self.ring.settle()
         self.shares.total_size = sum(s.size for s in caches)
         self.mean_reported = sum(s.reported for s in caches) / max(1, len(caches))
--- a/brackenwalk/ring.py
+++ b/brackenwalk/ring.py
@@ -8,9 +8,10 @@
 from array import array
 from bisect import bisect_left
 from collections.abc import Iterator
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 S = TypeVar("S")
+T = TypeVar("T", "array[int]", "array[float]", list[Any])
 
 
 def ring_hash(text: str) -> tuple[int, ...]:
@@ -23,43 +24,73 @@
     return tuple(p for j in range(math.ceil(count / 8)) for p in ring_hash(f"{server}-vnode-{j}"))[:count]
 
 
+def without(items: T, indices: list[int]) -> T:
+    """All items but those at some indices, which ascend."""
+    left, at = items[:0], 0
+    for index in indices:
+        left += items[at:index]
+        at = index + 1
+    left += items[at:]
+    return left
+
+
+def merged(items: T, places: list[int], others: list[Any]) -> T:
+    """Items with others put in, each before the item at its place; the places ascend."""
+    both, at = items[:0], 0
+    for place, other in zip(places, others, strict=True):
+        both += items[at:place]
+        both.append(other)
+        at = place
+    both += items[at:]
+    return both
+
+
 class Ring(Generic[S]):
     """Who owns which points, each with a rank among its owner's."""
 
     def __init__(self) -> None:
         self.points: dict[S, array[int]] = {}
-        self.moved: dict[S, None] = {}  # since the ring was settled
+        self.moved: dict[S, array[int]] = {}  # since the ring was settled, and what it held then
         self.positions: array[int] = array("Q")  # in the order of the walk, as are owners and ranks
         self.owners: list[S] = []
         self.ranks: array[float] = array("f")
 
     def place(self, owner: S, name: str, count: int) -> None:
         """Give an owner its points; `settle` makes them count."""
-        if count == len(self.points.get(owner, ())):
+        held = self.points.get(owner, array("Q"))
+        if count == len(held):
             return
-        self.moved[owner] = None
+        self.moved.setdefault(owner, held)
         self.points[owner] = array("Q", virtual_nodes(name, count))
         if not count:
             del self.points[owner]
 
     def settle(self) -> None:
-        """Take what was placed into the order of the walk; what stays in its place costs little."""
+        """Take what was placed into the order of the walk; what stays between is copied in whole pieces."""
         if not self.moved:
             return
-        stay = [i for i, owner in enumerate(self.owners) if owner not in self.moved]
-        points, ranks = [self.positions[i] for i in stay], [self.ranks[i] for i in stay]
-        owners = [self.owners[i] for i in stay]
+        leave = sorted(self._index(p, owner) for owner, held in self.moved.items() for p in held)
+        positions = without(self.positions, leave)
+        points, owners, ranks = array("Q"), list[S](), array("f")
         for owner in self.moved:
             held = self.points.get(owner, array("Q"))
             points += held
             owners += [owner] * len(held)
-            ranks += ((j + 0.5) / len(held) for j in range(len(held)))
+            ranks.extend((j + 0.5) / len(held) for j in range(len(held)))
         order = sorted(range(len(points)), key=points.__getitem__)
-        self.positions = array("Q", [points[i] for i in order])
-        self.owners = [owners[i] for i in order]
-        self.ranks = array("f", [ranks[i] for i in order])
+        places = [bisect_left(positions, points[i]) for i in order]
+        self.positions = merged(positions, places, [points[i] for i in order])
+        self.owners = merged(without(self.owners, leave), places, [owners[i] for i in order])
+        self.ranks = merged(without(self.ranks, leave), places, [ranks[i] for i in order])
         self.moved.clear()
 
+    def _index(self, position: int, owner: S) -> int:
+        """Where an owner's point stands; two owners' points may fall together."""
+        index = bisect_left(self.positions, position)
+        while self.owners[index] != owner:
+            index += 1
+        return index
+
     def clockwise(self, position: int, most: int) -> Iterator[tuple[S, float]]:
         """The owners of the points from a position on, and the rank of each point."""
         start, points = bisect_left(self.positions, position), len(self.positions)
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -1,12 +1,16 @@
 """Placement on the ring and the bounded walk, against values worked by hand from the design's formulas."""
 
 import hashlib
+import time
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 from brackenwalk import interface as api
 from brackenwalk import policy
-from brackenwalk.ring import ring_hash, virtual_nodes
+from brackenwalk.ring import Ring, ring_hash, virtual_nodes
 from tests.driver import Driver, entry, settings
 
 
@@ -265,3 +269,43 @@
         sent.append(primaries(d, "b"))
         assert sent[-1] == primaries(d, "c") and sent[-1].count("cold") > 50
     assert sent[0] == sent[1]
+
+
+moves = st.lists(st.tuples(st.integers(0, 9), st.sampled_from([0, 0, 3, 8, 20])), min_size=1, max_size=8)
+
+
+@hypothesis_settings(deadline=None, derandomize=True)
+@given(st.lists(moves, min_size=1, max_size=6))
+def test_a_ring_that_changed_step_by_step_is_the_one_built_at_once(
+    steps: list[list[tuple[int, int]]],
+) -> None:
+    ring: Ring[str] = Ring()
+    now: dict[str, int] = {}
+    for step in steps:
+        for owner, count in step:
+            now[f"s{owner}"] = count
+            ring.place(f"s{owner}", f"s{owner}", count)
+        ring.settle()
+        points = sorted(
+            (p, owner, (j + 0.5) / count)
+            for owner, count in now.items()
+            for j, p in enumerate(virtual_nodes(owner, count))
+        )
+        assert list(ring.positions) == [p for p, _, _ in points]
+        assert ring.owners == [owner for _, owner, _ in points]
+        assert list(ring.ranks) == pytest.approx([rank for _, _, rank in points])
+
+
+def test_a_change_of_one_server_costs_little_of_what_the_whole_ring_does() -> None:
+    """With 930 servers each version of the list that moved one cost a third of what all together cost."""
+
+    def seconds(*servers: int) -> float:
+        for server in servers:
+            ring.place(f"s{server}", f"s{server}", 0 if f"s{server}" in ring.points else 128)
+        began = time.process_time()
+        ring.settle()
+        return time.process_time() - began
+
+    ring: Ring[str] = Ring()
+    whole = seconds(*range(300))
+    assert min(seconds(n) for n in range(8)) < whole / 10
