Refuse HTTP answers whose framing is not of the grammar, and bound each head

Cause: `HttpClient.receive` took every event of h11 as it came. h11 lets pass line ends without CR, folded lines, control characters, any version, a status line without its second space, and chunk extensions and space after a chunk's size in any form. `Content-Length: 5 LF CRLF CRLF value` was read as the body `CRLF val`, and a folded Content-Length as no length. Its bound of 16 KiB holds only for a head that comes in parts; one that came at once was read at any length, so the outcome hung on how the bytes were cut.

Ruled out: a parser of our own. h11 still finds the parts; what it took off for each (a head, a chunk's line, the last chunk with its trailers) is held against the grammar of RFC 9112 before the part is believed. h11 gets 4 KiB at a time, since its unread bytes are copied at each event. `chunk_start` is no sign of a chunk's line: h11 leaves it out when line and data come apart.

--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -2,10 +2,26 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 import h11
 
+MAX_FRAMING = 16 * 1024  # of a head, of a chunk's line, or of the last one's with the trailers
+# bytes that are looked at together: what h11 has not read yet is copied at each of its events
+PIECE = 4096
+# guards against another end of a head or body than the sender's: h11 lets pass line ends without CR, folded
+# lines, other versions, control characters and chunk extensions of any form (RFC 9112, 2.2, 4, 5 and 7.1)
+TEXT = rb"[\t \x21-\x7e\x80-\xff]"
+TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+FIELDS = rb"(?:" + TOKEN + rb":" + TEXT + rb"*\r\n)*\r\n"
+QUOTED = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\' + TEXT + rb')*"'
+EXTENSION = rb"[ \t]*;[ \t]*" + TOKEN + rb"(?:[ \t]*=[ \t]*(?:" + TOKEN + rb"|" + QUOTED + rb"))?"
+HEAD = re.compile(rb"HTTP/1\.[0-9] [0-9]{3} " + TEXT + rb"*\r\n" + FIELDS)
+# each with the end of the chunk before it
+CHUNK = re.compile(rb"(?:\r\n)?[0-9A-Fa-f]+(?:" + EXTENSION + rb")*\r\n")
+LAST_CHUNK = re.compile(rb"(?:\r\n)?0+(?:" + EXTENSION + rb")*\r\n" + FIELDS)
+
 
 class HttpError(Exception):
     """A response that breaks the protocol, the bound on its size, or off."""
@@ -26,9 +42,10 @@
     def __init__(self, address: str, max_body: int) -> None:
         self.address = address
         self.max_body = max_body
-        self.connection = h11.Connection(h11.CLIENT)
+        self.connection = h11.Connection(h11.CLIENT, MAX_FRAMING)
         self.head: h11.Response | None = None
         self.body = bytearray()
+        self.raw = b""  # bytes that came since h11's last event
 
     def request(
         self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes | None = None
@@ -38,6 +55,7 @@
             self.connection.start_next_cycle()
         self.head = None
         self.body.clear()
+        self.raw = b""
         fields = [(b"Host", self.address.encode()), *headers]
         if body is not None:
             fields.append((b"Content-Length", str(len(body)).encode()))
@@ -49,24 +67,49 @@
 
     def receive(self, data: bytes) -> Response | None:
         """Take bytes, none at the connection's end, and answer with the response once it is whole."""
-        try:
-            self.connection.receive_data(data)
-            while True:
-                event = self.connection.next_event()
-                if event is h11.NEED_DATA:
-                    return None
-                if isinstance(event, h11.Response):
-                    self.head = event
-                elif isinstance(event, h11.Data):
-                    self.body += event.data
-                    if len(self.body) > self.max_body:
-                        raise HttpError(f"body of over {self.max_body} bytes")
-                elif isinstance(event, h11.EndOfMessage) and self.head is not None:
-                    return Response(self.head.status_code, dict(self.head.headers), bytes(self.body))
-                elif not isinstance(event, h11.InformationalResponse):
-                    raise HttpError(f"no response but {event!r}")
-        except h11.RemoteProtocolError as e:
-            raise HttpError(str(e)) from e
+        response = None
+        for at in range(0, max(1, len(data)), PIECE):
+            piece = data[at : at + PIECE]
+            try:
+                self.connection.receive_data(piece)
+                self.raw += piece
+                response = response or self._read()
+            except h11.RemoteProtocolError as e:
+                raise HttpError(str(e)) from e
+        return response
+
+    def _read(self) -> Response | None:
+        while (event := self.connection.next_event()) is not h11.NEED_DATA:
+            raw = self._taken()
+            if isinstance(event, h11.Response):
+                self._check(HEAD, raw)
+                self.head = event
+            elif isinstance(event, h11.InformationalResponse):
+                self._check(HEAD, raw)
+            elif isinstance(event, h11.Data):
+                if framing := raw[: -len(event.data)]:
+                    self._check(CHUNK, framing)
+                self.body += event.data
+                if len(self.body) > self.max_body:
+                    raise HttpError(f"body of over {self.max_body} bytes")
+            elif isinstance(event, h11.EndOfMessage) and self.head is not None:
+                if raw:  # other bodies end with their last byte
+                    self._check(LAST_CHUNK, raw)
+                return Response(self.head.status_code, dict(self.head.headers), bytes(self.body))
+            else:
+                raise HttpError(f"no response but {event!r}")
+        return None
+
+    def _taken(self) -> bytes:
+        """The bytes that h11 has read for its last event."""
+        left, _ = self.connection.trailing_data
+        taken, self.raw = self.raw[: len(self.raw) - len(left)], left
+        return taken
+
+    @staticmethod
+    def _check(grammar: re.Pattern[bytes], framing: bytes) -> None:
+        if len(framing) > MAX_FRAMING or not grammar.fullmatch(framing):
+            raise HttpError(f"malformed, or over {MAX_FRAMING} bytes: {framing[:80]!r}")
 
     def reusable(self) -> bool:
         """Whether another request may follow."""
