Refuse an HTTP answer that tells its length twice, or in two ways

Cause: `HttpClient.receive` left the framing fields to h11, which makes one of equal lengths (`5` and `5`, or `5, 5`), lets chunks pass beside a length and in HTTP/1.0, and lets framing fields pass among the trailers. RFC 9112, 6.1 and 6.3, lets a recipient refuse a repeated length, wants chunks beside a length taken for an error, and chunks in HTTP/1.0 for faulty framing; nobody may send framing fields as trailers (RFC 9110, 6.5.1). A value cut by the wrong one of two lengths would be served as if the origin had given it.

Ruled out: signed, empty, spelled and unequal lengths, more than 20 digits, unknown, listed and repeated transfer codings, chunk sizes with a sign, a prefix or none at all: h11 refuses each of them.

Test that fails without it, in each of its forms and cuts: test_an_answer_tells_its_length_once_and_in_one_way.

--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -21,6 +21,7 @@
 # each with the end of the chunk before it
 CHUNK = re.compile(rb"(?:\r\n)?[0-9A-Fa-f]+(?:" + EXTENSION + rb")*\r\n")
 LAST_CHUNK = re.compile(rb"(?:\r\n)?0+(?:" + EXTENSION + rb")*\r\n" + FIELDS)
+LENGTHS = re.compile(rb"\r\ncontent-length:([^\r]*)", re.IGNORECASE)  # h11 tells but one of equal ones
 
 
 class HttpError(Exception):
@@ -81,11 +82,11 @@
     def _read(self) -> Response | None:
         while (event := self.connection.next_event()) is not h11.NEED_DATA:
             raw = self._taken()
-            if isinstance(event, h11.Response):
-                self._check(HEAD, raw)
-                self.head = event
-            elif isinstance(event, h11.InformationalResponse):
+            if isinstance(event, (h11.Response, h11.InformationalResponse)):
                 self._check(HEAD, raw)
+                self._check_length(event, raw)
+                if isinstance(event, h11.Response):
+                    self.head = event
             elif isinstance(event, h11.Data):
                 if framing := raw[: -len(event.data)]:
                     self._check(CHUNK, framing)
@@ -95,6 +96,7 @@
             elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                 if raw:  # other bodies end with their last byte
                     self._check(LAST_CHUNK, raw)
+                    self._check_trailers(event)
                 return Response(self.head.status_code, dict(self.head.headers), bytes(self.body))
             else:
                 raise HttpError(f"no response but {event!r}")
@@ -111,6 +113,21 @@
         if len(framing) > MAX_FRAMING or not grammar.fullmatch(framing):
             raise HttpError(f"malformed, or over {MAX_FRAMING} bytes: {framing[:80]!r}")
 
+    @staticmethod
+    def _check_length(event: h11.Response | h11.InformationalResponse, head: bytes) -> None:
+        """Guards against a body that is not the sender's: h11 takes chunks before a length (RFC 9112, 6)."""
+        lengths = LENGTHS.findall(head)
+        chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
+        if len(lengths) > 1 or b"," in b"".join(lengths):
+            raise HttpError("a repeated length")
+        if chunked and (lengths or event.http_version == b"1.0"):
+            raise HttpError("chunks with a length, or of HTTP/1.0")
+
+    @staticmethod
+    def _check_trailers(event: h11.EndOfMessage) -> None:
+        if any(name in (b"content-length", b"transfer-encoding") for name, _ in event.headers):
+            raise HttpError("a length after the body")
+
     def reusable(self) -> bool:
         """Whether another request may follow."""
         ended = self.connection.our_state is self.connection.their_state is h11.DONE
--- a/tests/test_grammar_http.py
+++ b/tests/test_grammar_http.py
@@ -74,3 +74,24 @@
     assert response is not None and response.body == b"value"
     refused(head.replace(b"x", b"xx", 1), piece)
     refused(CHUNKED + b"0\r\nX: " + b"x" * MAX_FRAMING + b"\r\n\r\n", piece)
+
+
+@PIECES
+@pytest.mark.parametrize(
+    "text",
+    [
+        OK + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nvalue",
+        OK + b"content-length: 5\r\nX: y\r\nCONTENT-LENGTH:5\r\n\r\nvalue",
+        OK + b"Content-Length: 5, 5\r\n\r\nvalue",
+        OK + b"Content-Length: 5\r\nContent-Length: 5, 5\r\n\r\nvalue",
+        OK + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n0\r\n\r\n",
+        OK + b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nvalue\r\n0\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n0\r\n\r\n",
+        CHUNKED + b"5\r\nvalue\r\n0\r\nContent-Length: 5\r\n\r\n",
+        CHUNKED + b"5\r\nvalue\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 100 C\r\nContent-Length: 5, 5\r\n\r\n" + OK + b"Content-Length: 5\r\n\r\nvalue",
+    ],
+)
+def test_an_answer_tells_its_length_once_and_in_one_way(text: bytes, piece: int) -> None:
+    """Whoever told it twice had two lengths in mind, or something on the way had."""
+    refused(text, piece)
