Skip only so many informational responses before an HTTP answer

Cause: `HttpClient.receive` skipped every InformationalResponse. A peer that sends nothing else kept the router at work for as long as the attempt was out: 100,000 of them were read in one go. Sixteen are skipped now.

Ruled out: 101, which h11 refuses where nobody asked for another protocol, and a body after such a head, whose bytes are no status line.

Test that fails without it: test_only_so_many_informational_answers_are_skipped.

--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -8,6 +8,7 @@
 import h11
 
 MAX_FRAMING = 16 * 1024  # of a head, of a chunk's line, or of the last one's with the trailers
+MAX_INFORMATIONAL = 16  # answers before the one that counts
 # bytes that are looked at together: what h11 has not read yet is copied at each of its events
 PIECE = 4096
 # guards against another end of a head or body than the sender's: h11 lets pass line ends without CR, folded
@@ -45,6 +46,7 @@
         self.max_body = max_body
         self.connection = h11.Connection(h11.CLIENT, MAX_FRAMING)
         self.head: h11.Response | None = None
+        self.informational = 0  # of its answers so far
         self.body = bytearray()
         self.raw = b""  # bytes that came since h11's last event
 
@@ -55,6 +57,7 @@
         if self.connection.our_state is not h11.IDLE:
             self.connection.start_next_cycle()
         self.head = None
+        self.informational = 0
         self.body.clear()
         self.raw = b""
         fields = [(b"Host", self.address.encode()), *headers]
@@ -87,6 +90,10 @@
                 self._check_length(event, raw)
                 if isinstance(event, h11.Response):
                     self.head = event
+                else:
+                    self.informational += 1
+                    if self.informational > MAX_INFORMATIONAL:
+                        raise HttpError(f"over {MAX_INFORMATIONAL} informational responses")
             elif isinstance(event, h11.Data):
                 if framing := raw[: -len(event.data)]:
                     self._check(CHUNK, framing)
--- a/tests/test_grammar_http.py
+++ b/tests/test_grammar_http.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from brackenwalk.net.http import MAX_FRAMING, HttpClient, HttpError, Response
+from brackenwalk.net.http import MAX_FRAMING, MAX_INFORMATIONAL, HttpClient, HttpError, Response
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -95,3 +95,15 @@
 def test_an_answer_tells_its_length_once_and_in_one_way(text: bytes, piece: int) -> None:
     """Whoever told it twice had two lengths in mind, or something on the way had."""
     refused(text, piece)
+
+
+@PIECES
+def test_only_so_many_informational_answers_are_skipped(piece: int) -> None:
+    """A peer that sends them without end kept the router reading without an answer."""
+    head, answer = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", OK + b"Content-Length: 5\r\n\r\nvalue"
+    client = asked()
+    for _ in range(2):  # the count is of one answer, not of the connection
+        response = read(client, head * MAX_INFORMATIONAL + answer, piece, ended=False)
+        assert response is not None and response.body == b"value" and client.reusable()
+        client.request("GET", "/k", [])
+    refused(head * (MAX_INFORMATIONAL + 1) + answer, piece)
