--- a/tests/test_grammar_http.py
+++ b/tests/test_grammar_http.py
@@ -107,3 +107,9 @@
         assert response is not None and response.body == b"value" and client.reusable()
         client.request("GET", "/k", [])
     refused(head * (MAX_INFORMATIONAL + 1) + answer, piece)
+
+
+def test_a_repeated_field_is_the_list_of_its_values() -> None:
+    """The last alone was told: after `Not-Started: 0`, `Not-Started: 1` let a write be sent again."""
+    response = read(asked(), OK + b"Not-Started: 0\r\nX: a\r\nnot-started: 1\r\nContent-Length: 0\r\n\r\n")
+    assert response is not None and response.headers[b"not-started"] == b"0, 1"
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -331,6 +331,7 @@
         (http("503 Busy", b"", "Not-Started: 1"), Status.FULL, b""),
         (http("504 Late", b"", "Not-Started: 1"), Status.FULL, b""),
         (http("503 Busy"), Status.ERROR, b""),
+        (http("503 Busy", b"", "Not-Started: 0", "Not-Started: 1"), Status.ERROR, b""),
         (http("500 Error", b"", "Not-Started: 1"), Status.ERROR, b""),
         (http("404 None"), Status.ERROR, b""),
     ],
