--- a/tests/test_grammar_http.py
+++ b/tests/test_grammar_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 
 from brackenwalk.net.http import MAX_FRAMING, MAX_INFORMATIONAL, HttpClient, HttpError, Response
@@ -113,3 +115,14 @@
     """The last alone was told: after `Not-Started: 0`, `Not-Started: 1` let a write be sent again."""
     response = read(asked(), OK + b"Not-Started: 0\r\nX: a\r\nnot-started: 1\r\nContent-Length: 0\r\n\r\n")
     assert response is not None and response.headers[b"not-started"] == b"0, 1"
+
+
+@PIECES
+@pytest.mark.parametrize("end", [b"Content-Length: 5\r\n\r\n", b"\r\n"])
+def test_an_ended_connection_carries_no_more(end: bytes, piece: int) -> None:
+    client = asked()
+    response = read(client, OK + end + b"value", piece, ended=False)
+    assert client.reusable() == (response is not None)
+    with contextlib.suppress(HttpError):
+        client.receive(b"")
+    assert not client.reusable()
