Test that a reset is no end of an answer of the origin, at any byte and in one turn

Cause: nothing showed that an answer without a length stands by an orderly end and falls by a reset, above all where bytes and reset are there before the event loop looks. It was right: asyncio calls `eof_received` for an orderly end alone, and `connection_lost` serves nothing. The peer in these tests is a plain socket that sends and resets with nothing run in between, so the order is forced and no time is waited for.

The tests fail where `connection_lost` is made to take what came for a whole body: test_a_body_without_a_length_ends_with_its_connection_and_not_with_a_reset, test_a_reset_is_no_end_at_any_byte. They passed on the old code, as did test_an_end_before_that_of_the_body_is_a_reset and test_a_whole_body_stands_though_a_reset_follows.

--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from typing import Any
 
 import pytest
@@ -334,6 +335,8 @@
         (http("503 Busy", b"", "Not-Started: 0", "Not-Started: 1"), Status.ERROR, b""),
         (http("500 Error", b"", "Not-Started: 1"), Status.ERROR, b""),
         (http("404 None"), Status.ERROR, b""),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", Status.ERROR, b""),
+        (b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", Status.ERROR, b""),
     ],
 )
 def test_answers_of_the_origin(answer: bytes, status: Status, value: bytes) -> None:
@@ -360,6 +363,13 @@
     [
         (b"hello\r\n\r\n", Status.ERROR),
         (http("200 OK", b"x" * 70000), Status.ERROR),
+        (http("200 OK", b"value", "Content-Length: 5"), Status.ERROR),
+        (http("200 OK", b"5\r\nvalue\r\n0\r\n\r\n", "Transfer-Encoding: chunked"), Status.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nvalue", Status.ERROR),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nvalue\r\n0\r\n\r\n", Status.ERROR),
+        (b"HTTP/1.1 103 Early Hints\r\n\r\n" * 99 + http("200 OK", b"value"), Status.ERROR),
+        (b"HTTP/1.1 204 No Content\r\n\r\nvalue", Status.ERROR),
+        (http("200 OK", b"value") + b"more", Status.OK),  # that of its length, and the rest is nobody's
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nval", Status.RESET),
         (b"HTTP/1.1 200 OK\r\n\r\nvalue", Status.OK),  # its end is the connection's
         (b"", Status.RESET),
@@ -378,6 +388,100 @@
     run(scenario)
 
 
+class Counting(OriginConnection):
+    """Tells how much it has read."""
+
+    got = 0
+
+    def data_received(self, data: bytes) -> None:
+        self.got += len(data)
+        super().data_received(data)
+
+
+def end_with_reset(peer: socket.socket) -> None:
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+
+
+async def ended_answer(data: bytes, reset: bool, one_turn: bool) -> tuple[Status, bytes]:
+    """What becomes of bytes of the origin, and an end that the loop sees along with them or after them."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.setblocking(False)
+        ends = Ends(Pool(Counting, 8, 1.0, 60.0))
+        ends.start(spelled(server.getsockname()))
+        peer, _ = await loop.sock_accept(server)
+        request = b""
+        while not request.endswith(b"\r\n\r\n"):
+            request += await loop.sock_recv(peer, 4096)
+        (connection,) = ends.pool.connections
+        assert isinstance(connection, Counting)
+        peer.sendall(data)
+        while not one_turn and connection.got < len(data):
+            await asyncio.sleep(0)
+        if reset:
+            end_with_reset(peer)
+        else:
+            peer.close()
+        end = await ends.end()
+        ends.pool.close()
+        return end
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+ENDLESS = HEAD + b"Server-Load: inflight=7\r\n\r\n"
+BOUNDED = [
+    (http("200 OK", b"value"), b"value"),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nva\r\n3\r\nlue\r\n0\r\n\r\n", b"value"),
+]
+ONE_TURN = pytest.mark.parametrize("one_turn", [True, False], ids=["one turn", "two turns"])
+
+
+@ONE_TURN
+def test_a_body_without_a_length_ends_with_its_connection_and_not_with_a_reset(one_turn: bool) -> None:
+    """A value cut short on its way would be served as if it were whole."""
+
+    async def scenario() -> None:
+        for body in (b"", b"v", b"value", b"v" * 9000):
+            data = ENDLESS + body
+            assert await ended_answer(data, reset=False, one_turn=one_turn) == (Status.OK, body)
+            assert await ended_answer(data, reset=True, one_turn=one_turn) == (Status.RESET, b"")
+
+    run(scenario)
+
+
+@ONE_TURN
+@pytest.mark.parametrize("text", [ENDLESS + b"value", *(text for text, _ in BOUNDED)])
+def test_a_reset_is_no_end_at_any_byte(text: bytes, one_turn: bool) -> None:
+    async def scenario() -> None:
+        for size in range(len(text)):
+            assert await ended_answer(text[:size], reset=True, one_turn=one_turn) == (Status.RESET, b"")
+
+    run(scenario)
+
+
+@ONE_TURN
+@pytest.mark.parametrize(("text", "body"), BOUNDED)
+def test_an_end_before_that_of_the_body_is_a_reset(text: bytes, body: bytes, one_turn: bool) -> None:
+    async def scenario() -> None:
+        for size in range(len(text)):
+            assert await ended_answer(text[:size], reset=False, one_turn=one_turn) == (Status.RESET, b"")
+        assert await ended_answer(text, reset=False, one_turn=one_turn) == (Status.OK, body)
+
+    run(scenario)
+
+
+@ONE_TURN
+@pytest.mark.parametrize(("text", "body"), BOUNDED)
+def test_a_whole_body_stands_though_a_reset_follows(text: bytes, body: bytes, one_turn: bool) -> None:
+    async def scenario() -> None:
+        end = await ended_answer(text, reset=True, one_turn=one_turn)
+        # a kernel may tell of the reset before the bytes; it may not make another body of them
+        assert end == (Status.OK, body) or (one_turn and end == (Status.RESET, b""))
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("key", [b"a/../b", b"a?x=1", b"a b", b"a\r\nX: y", b"%2e", "ó".encode(), b"\xff#"])
 def test_a_key_stays_one_segment_of_the_path(key: bytes) -> None:
     """A key that spells another path would fetch, or overwrite, what nobody asked for."""
