--- a/fleetlab/plan.py
+++ b/fleetlab/plan.py
@@ -72,6 +72,20 @@
         return self.experiment.fleet.real + self.experiment.fleet.hollow
 
 
+def hollow_lists(experiment: Experiment) -> list[list[int]]:
+    """The numbers of the hollow routers in each process, dealt round so that all hold all zones."""
+    fleet = experiment.fleet
+    numbers = list(range(fleet.real, fleet.real + fleet.hollow))
+    return [numbers[p :: fleet.processes] for p in range(min(fleet.processes, fleet.hollow))]
+
+
+def listeners(plan: Plan) -> list[int]:
+    """Numbers of the routers that hear peers: the real ones and the first of each process's list."""
+    lists = hollow_lists(plan.experiment)
+    heard = [n for numbers in lists for n in numbers[: round(plan.experiment.fleet.listening * len(numbers))]]
+    return sorted([*range(plan.experiment.fleet.real), *heard])
+
+
 class Message(msgspec.Struct, omit_defaults=True):
     """A line from a worker."""
 
@@ -224,6 +238,8 @@
     "config_of",
     "entry_of",
     "first_list",
+    "hollow_lists",
+    "listeners",
     "origin_entry",
     "server_name",
     "settings_of",
