--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -137,6 +137,27 @@
         return actions
 
 
+class HollowHost(Host):
+    """A host that can be killed: timers that are still out then find it deaf."""
+
+    def __init__(self, settings: api.Settings, seed: int, pool: Pool, subscribe: Callable[[], None]) -> None:
+        super().__init__(settings, seed, pool, pool, subscribe)
+        self.dead = False
+
+    def post(self, event: api.Event) -> None:
+        if not self.dead:
+            super().post(event)
+
+    def kill(self) -> int:
+        """End at once; answers with how many requests it still owed an answer."""
+        self.dead = True
+        for taken in self.requests.values():
+            for attempt in taken.attempts.values():
+                if attempt.exchange is not None:
+                    attempt.exchange.abandon()
+        return sum(not taken.closed for taken in self.requests.values())
+
+
 class Modelled(Exchange):
     """An attempt at a server that is none."""
 
@@ -253,7 +274,7 @@
         self.random = random.Random(f"{fleet.plan.seed} {number}")
         self.meter = Meter()
         self.asked = 0
-        self.host: Host | None = None
+        self.host: HollowHost | None = None
         self.discovery: Discovery | None = None
         self.peers: Peers | None = None
         self.next: asyncio.TimerHandle | None = None
@@ -266,7 +287,7 @@
         settings = read_settings(fleet.settings | {"me": self.number})
         pool = ModelPool(self, settings.dial_timeout)
         seed = self.random.getrandbits(32)
-        host = self.host = Host(settings, seed, pool, pool, self._subscribe)
+        host = self.host = HollowHost(settings, seed, pool, self._subscribe)
         host.router = Metered(settings, seed, host.clock.now(), self.meter)
         told, failed = self._told, self._failed
         self.discovery = Discovery(self.address, fleet.index, told, failed)
@@ -289,13 +310,7 @@
         if self.peers is not None:
             self.peers.close()
         if self.host is not None:
-            # timers that are still out find a host that carries out nothing
-            vars(self.host)["post"] = lambda event: None
-            for taken in self.host.requests.values():
-                taken.closed = True
-                for attempt in taken.attempts.values():
-                    if attempt.exchange is not None:
-                        attempt.exchange.abandon()
+            self.meter.counts["unserved"] += self.host.kill()
         self.host = self.discovery = self.peers = None
 
     def state(self, address: str) -> str:
