--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import importlib
 import random
 import time
@@ -41,6 +42,7 @@
 
 TIME_LEFT = 1.0  # of the shortest aim, that a client gives a request
 VALUE = b"v" * 64
+BEAT = 0.1  # seconds between two looks at how late the loop is
 SIZED = 3  # instances whose state is walked at the end, which takes a second each
 log = structlog.get_logger(__name__)
 
@@ -273,7 +275,7 @@
         self.zone = number % fleet.zones
         self.random = random.Random(f"{fleet.plan.seed} {number}")
         self.meter = Meter()
-        self.asked = 0
+        self.asked = self.made = 0  # requests, and those of the schedule
         self.host: HollowHost | None = None
         self.discovery: Discovery | None = None
         self.peers: Peers | None = None
@@ -343,6 +345,7 @@
         write = self.random.random() < requests.writes
         deadline = int(1000 * TIME_LEFT * self.fleet.plan.experiment.shortest_aim)
         self.asked += 1
+        self.made += 1
         command = Command(
             b"C.SET" if write else b"C.GET",
             key,
@@ -411,8 +414,8 @@
     metrics["cpu.control"] = spread([max(0.0, c) / 1e9 / seconds for c in control], "core")
     metrics["cpu.share"] = spread([m.spent.total() / 1e9 / seconds for m in meters], "core")
     for name in ("bytes.out.peers", "bytes.in.discovery", "bytes.out.discovery"):
-        metrics[name] = spread([m.counts[name] / seconds for m in meters], "bytes/s")
-    metrics["bytes.in.peers"] = spread([m.heard_bytes.total() / seconds for m in meters], "bytes/s")
+        metrics[name] = spread([m.counts[name] / seconds for m in meters], "B/s")
+    metrics["bytes.in.peers"] = spread([m.heard_bytes.total() / seconds for m in meters], "B/s")
     metrics["rate.told"] = spread([m.counts["told"] / seconds for m in meters], "1/s")
     metrics["calls"] = spread([m.counts["calls"] / seconds for m in meters], "1/s")
     metrics["calls.failed"] = Metric(float(sum(m.counts["calls.failed"] for m in meters)), "calls")
@@ -429,11 +432,19 @@
 
 
 def results(
-    plan: Plan, instances: list[Hollow], start: dict[str, float], seconds: float, spent: float
+    plan: Plan,
+    instances: list[Hollow],
+    start: dict[str, float],
+    *,
+    seconds: float,
+    spent: float,
+    late: list[float],
 ) -> dict[str, Role]:
     """All roles of this process: `hollow`, `full` where there are any, and `lab` for the process itself.
 
-    `spent` are the processor seconds of the process in the schedule; `start` has figures of the start.
+    `spent` are the processor seconds of the process in the schedule; `start` has figures of the start; `late`
+    is how late the loop was. Where `asked`, the share of the planned requests that were made, is well below
+    1 or the lag is not far below a second, the process was too full and its rates say nothing.
     """
     full = plan.experiment.requests.full_rate
     asked: defaultdict[str, list[Hollow]] = defaultdict(list)
@@ -447,6 +458,9 @@
         metrics["memory.mb"] = Metric(memory / len(instances), "MB", count=len(instances))
         sizes = [state_size(i.host.router) / 2**20 for i in group[:SIZED] if i.host is not None]
         metrics["state.mb"] = spread(sizes, "MB")
+        planned = seconds * sum(i.rate for i in group)
+        if planned:
+            metrics["asked"] = Metric(sum(i.made for i in group) / planned, "share")
         metrics |= {f"start.{what}": Metric(value, "s") for what, value in start.items()}
     own = spent - sum(i.meter.spent.total() for i in instances) / 1e9
     descriptors = float(psutil.Process().num_fds())
@@ -456,11 +470,20 @@
             "cpu.share": Metric(max(0.0, own) / seconds, "core"),
             "memory.mb": Metric(memory, "MB"),
             "descriptors": Metric(descriptors, "descriptors"),
+            "lag": spread(late, "s"),
         },
     )
     return roles
 
 
+async def watch_lag(late: list[float]) -> None:
+    """Note how much later than asked the loop comes round, in seconds: what it does not keep up with."""
+    while True:
+        due = time.monotonic() + BEAT
+        await asyncio.sleep(BEAT)
+        late.append(time.monotonic() - due)
+
+
 def rates(plan: Plan) -> list[float]:
     """Requests a second at each hollow router of this process: its part of the full ones comes first."""
     fleet, requests = plan.experiment.fleet, plan.experiment.requests
@@ -515,6 +538,10 @@
             await asyncio.sleep(0)  # let those that are up ask and hear
         start = {"wall": time.monotonic() - start["wall"], "cpu": time.process_time() - start["cpu"]}
         log.info("hollow routers are up", count=len(instances), **start)
+        # what stays for the whole play is not gone through again and again: with hundreds of instances that
+        # would be counted as their own time
+        gc.collect()
+        gc.freeze()
         ready()
         await asyncio.wait((over, waits), return_when=asyncio.FIRST_COMPLETED)
         if waits.done():
@@ -527,6 +554,8 @@
             instance.meter = CountedClient.meters[instance.address] = own
             if instance.host is not None and isinstance(instance.host.router, Metered):
                 instance.host.router.meter = own
+        late: list[float] = []
+        tasks.append(asyncio.create_task(watch_lag(late)))
         counted, spent = time.monotonic(), time.process_time()
         if not over.done():
             for instance in instances:
@@ -537,16 +566,17 @@
             for absence in fleet.schedule.absences:
                 by_router[absence.router].append(absence)
             known = {i.number: i for i in instances}
-            tasks = [asyncio.create_task(absent(known[n], a)) for n, a in by_router.items() if n in known]
+            tasks += [asyncio.create_task(absent(known[n], a)) for n, a in by_router.items() if n in known]
             await asyncio.wait((over,), timeout=max(0.0, plan.experiment.seconds - fleet.at()))
-        seconds = max(1e-3, time.monotonic() - counted)
-        return results(plan, instances, start, seconds, time.process_time() - spent)
+        seconds, spent = max(1e-3, time.monotonic() - counted), time.process_time() - spent
+        return results(plan, instances, start, seconds=seconds, spent=spent, late=late)
     finally:
         for task in [*tasks, over, waits]:
             task.cancel()
         for instance in instances:
             instance.stop()
         await asyncio.sleep(0)  # sockets close
+        gc.unfreeze()
 
 
 def plan_begun(plan: Plan, began: float) -> Plan:
--- a/fleetlab/module_costs.py
+++ b/fleetlab/module_costs.py
@@ -241,9 +241,9 @@
     metrics |= {f"rate.{kind}": Metric(rate, "1/s") for kind, rate in rates.items()}
     metrics["rate.told"] = Metric(own / TIMED, "1/s")
     metrics["rate.peer"] = metric([m for m, _ in quiet], "1/s")
-    metrics["bytes.in.peers"] = metric([b for _, b in quiet], "bytes/s")
+    metrics["bytes.in.peers"] = metric([b for _, b in quiet], "B/s")
     metrics["storm.rate.peer"] = Metric(worst, "1/s")
-    metrics["storm.bytes.in.peers"] = Metric(max(b for _, b in storm), "bytes/s")
+    metrics["storm.bytes.in.peers"] = Metric(max(b for _, b in storm), "B/s")
     cost = {kind: metrics[f"cpu.us.{kind}"].value if f"cpu.us.{kind}" in metrics else 0.0 for kind in CONTROL}
     plain = metrics["cpu.us.request"].value
     cost["tell"] = max(0.0, cost["tell"] - plain)  # what it takes more than any request
--- a/tests/test_lab_hollow.py
+++ b/tests/test_lab_hollow.py
@@ -271,13 +271,13 @@
     assert set(roles) == {"hollow", "full", "lab"}
     for name, role in roles.items():
         if name == "lab":
-            assert role.metrics["cpu.share"].value >= 0
+            assert role.metrics["cpu.share"].value >= 0 and role.metrics["lag"].count > 0
             continue
         metrics = role.metrics
         assert role.instances == 1
         assert metrics["rate.peer"].value > 0 and metrics["bytes.in.peers"].value > 0
         assert metrics["bytes.out.peers"].value > 0 and metrics["cpu.us.tell"].value > 0
-        assert metrics["served"].value > 0.9
+        assert metrics["served"].value > 0.9 and metrics["asked"].value > 0
         assert metrics["state.mb"].value > 0.01 and metrics["memory.mb"].value > 1
     assert roles["full"].metrics["rate.request"].value > roles["hollow"].metrics["rate.request"].value
 
