--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -368,7 +368,9 @@
     def _told(self, kind: api.ListKind, members: list[Member]) -> None:
         began = CountedClient.marks.get(self.address)
         if began is not None:
-            self.meter.add("call", began)  # reading the answer, without the dial
+            # reading the answer, without the dial; one with no news is counted where it is handled
+            self.meter.spent["call"] += time.thread_time_ns() - began
+            self.meter.events["call"] += bool(members)
         if self.host is not None:
             self.host.list_told(kind, members)
 
@@ -404,12 +406,14 @@
     metrics: dict[str, Metric] = {}
     for kind in sorted({k for m in meters for k in m.events}):
         spent, count = sum(m.spent[kind] for m in meters), sum(m.events[kind] for m in meters)
+        if not count:
+            continue
         each = [m.spent[kind] / m.events[kind] / 1000 for m in meters if m.events[kind]]
         metrics[f"cpu.us.{kind}"] = Metric(spent / count / 1000, "us", min(each), max(each), count)
         metrics[f"rate.{kind}"] = spread([m.events[kind] / seconds for m in meters], "1/s")
     plain = metrics["cpu.us.request"].value * 1000 if "cpu.us.request" in metrics else 0.0
     control = [
-        sum(m.spent[k] for k in (*CONTROL, "list", "call")) - m.events["tell"] * plain for m in meters
+        sum(m.spent[k] for k in (*CONTROL, "list")) - m.events["tell"] * plain for m in meters
     ]  # a request that tells is a request as well
     metrics["cpu.control"] = spread([max(0.0, c) / 1e9 / seconds for c in control], "core")
     metrics["cpu.share"] = spread([m.spent.total() / 1e9 / seconds for m in meters], "core")
--- a/fleetlab/model.py
+++ b/fleetlab/model.py
@@ -43,6 +43,8 @@
             return "peer"
         case api.TimerFired():
             return "timer"
+        case api.ServerList(kind=api.ListKind.DELTA, entries=()):
+            return "call"  # a watch's answer with no news
         case api.ServerList():
             kinds = {api.ListKind.DELTA: "change", api.ListKind.FAILED: "call", api.ListKind.MOVED: "call"}
             return kinds.get(event.kind, "list")
--- a/fleetlab/module_costs.py
+++ b/fleetlab/module_costs.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from brackenwalk import interface as api
-from brackenwalk.net.discovery import read_list
+from brackenwalk.net.discovery import WATCH_WAIT, read_list
 from brackenwalk.policy import Router
 from brackenwalk.settings import read_settings
 from fleetlab.experiment import Experiment
@@ -30,7 +30,7 @@
 QUIET, STORM, TIMED = 3, 6, 5  # seconds of each part
 LISTS = 3  # first lists, each to a new instance
 CHANGES = 8  # servers that drain, go, and come back new
-CONTROL = ("change", "peer", "timer", "tell")
+CONTROL = ("change", "call", "peer", "timer", "tell")  # and what a list takes, of which there are few
 ORIGIN = "s-origin"
 
 
@@ -144,7 +144,7 @@
 def lists_and_changes(
     conf: api.Settings, entries: list[api.ServerEntry], seed: int
 ) -> dict[str, list[float]]:
-    """Seconds for each first list, the same list told again, and each change of one server's state."""
+    """Seconds for each first list, the same list again, no news, and each change of one server."""
     spent: defaultdict[str, list[float]] = defaultdict(list)
     whole = tuple(entries)
     for i in range(LISTS):
@@ -154,7 +154,8 @@
     router.spent.clear()
     for _ in range(LISTS):
         router.handle(100.0, api.ServerList(api.ListKind.FULL, whole))
-    spent["list.again"] = list(router.spent["list"])
+        router.handle(100.0, api.ServerList(api.ListKind.DELTA))
+    spent["list.again"], spent["call"] = list(router.spent["list"]), list(router.spent["call"])
     caches = [e for e in entries if e.server != ORIGIN]
     now = 100.0
     for entry in caches[:: max(1, len(caches) // CHANGES)][:CHANGES]:
@@ -236,7 +237,8 @@
     spent |= loaded
     metrics = {f"cpu.us.{kind}": metric(samples, "us", 1e6) for kind, samples in sorted(spent.items())}
     rates = {kind: len(loaded.get(kind, ())) / TIMED for kind in ("request", "outcome", "timer", "tell")}
-    rates |= {"peer": heard, "change": changes_per_second(experiment)}
+    # a watch with no news is answered when its wait is over
+    rates |= {"peer": heard, "change": changes_per_second(experiment), "call": 1 / WATCH_WAIT}
     worst = max(m for m, _ in storm)
     metrics |= {f"rate.{kind}": Metric(rate, "1/s") for kind, rate in rates.items()}
     metrics["rate.told"] = Metric(own / TIMED, "1/s")
--- a/tests/test_lab_hollow.py
+++ b/tests/test_lab_hollow.py
@@ -129,7 +129,7 @@
     )
     roles = module_costs.measure(experiment, 1)
     metrics = roles["module"].metrics
-    for kind in ("list", "change", "request", "outcome", "tell", "peer", "timer"):
+    for kind in ("list", "change", "call", "request", "outcome", "tell", "peer", "timer"):
         assert metrics[f"cpu.us.{kind}"].value > 0, kind
     assert metrics["cpu.us.tell"].value > metrics["cpu.us.request"].value
     assert 40 < metrics["rate.request"].value + metrics["rate.tell"].value < 80
