--- a/fleetlab/module_costs.py
+++ b/fleetlab/module_costs.py
@@ -44,7 +44,7 @@
     """A router that keeps the processor seconds for each event, by kind.
 
     `tell` are requests at which it also shares out demand and may tell peers. The thread's own time is taken,
-    as on a busy machine a clock on the wall counts other processes as well; reading it takes some 0.5 us.
+    as on a busy machine a clock on the wall counts other processes as well; reading it takes some 1 us.
     """
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
