--- /dev/null
+++ b/fleetlab/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m fleetlab`."""
+
+from fleetlab.cli import main
+
+main(prog_name="python -m fleetlab")
--- a/fleetlab/experiment.py
+++ b/fleetlab/experiment.py
@@ -6,7 +6,12 @@
 
 from __future__ import annotations
 
-from typing import Literal
+import math
+import re
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Literal
 
 import msgspec
 
@@ -118,3 +123,185 @@
     sweep: Sweep = Sweep()
     memory_share: float = 0.5  # of the machine's memory, at most
     most_processes: int = 300
+
+
+class ExperimentError(ValueError):
+    """An experiment that can't be played; the message names file, key and what was wanted."""
+
+
+SHARES = [
+    "cold_share",
+    "fleet.listening",
+    "requests.hits",
+    "requests.writes",
+    "network.loss",
+    "network.doubled",
+    "network.garbled",
+    "memory_share",
+]
+AT_LEAST = {
+    "seconds": 0.1,
+    "settle": 0.1,
+    "shortest_aim": 0.01,
+    "must_ask_in": 0,
+    "drain_grace": 0,
+    "ramp": 0,
+    "fall_multiple": 0,
+    "fall_window": 0,
+    "fleet.real": 0,
+    "fleet.hollow": 0,
+    "fleet.processes": 1,
+    "fleet.servers": 1,
+    "fleet.zones": 1,
+    "fleet.full": 0,
+    "requests.rate": 0,
+    "requests.hollow_rate": 0,
+    "requests.full_rate": 0,
+    "requests.keys": 1,
+    "requests.zipf": 0,
+    "requests.latency_ms": 0,
+    "discovery.call_ms": 0,
+    "discovery.line_us": 0,
+    "discovery.timeout": 0,
+    "discovery.lag": 0,
+    "network.late_ms": 0,
+    "sweep.plays": 1,
+    "most_processes": 1,
+}
+MOST_ADDRESSES = 14_000  # of one kind in a plan's block of loopback addresses
+
+
+def _said(error: msgspec.ValidationError) -> str:
+    """msgspec's message as `KEY: what was wanted`, with the key's whole path."""
+    text, _, place = str(error).partition(" - at ")
+    path = place.strip("`").removeprefix("$").removeprefix(".")
+    field = re.search(r"(?:unknown|required) field `([^`]+)`", text)
+    if field is None:
+        return f"{path}: {text[0].lower()}{text[1:]}"
+    key = f"{path}.{field[1]}" if path else field[1]
+    return f"{key}: " + ("no such key" if "unknown" in text else "wanted, but not there")
+
+
+def _value(tree: Any, key: str) -> Any:
+    """The value under a dotted key. Raises LookupError, TypeError or ValueError where there is none."""
+    for part in key.split("."):
+        tree = tree[int(part)] if isinstance(tree, list) else tree[part]
+    return tree
+
+
+def _endless(tree: Any, path: str = "") -> str | None:
+    """The key of a number that is not finite."""
+    if isinstance(tree, float) and not math.isfinite(tree):
+        return path
+    items = tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ()
+    return next(filter(None, (_endless(v, f"{path}.{k}" if path else str(k)) for k, v in items)), None)
+
+
+def _wrong(experiment: Experiment) -> str | None:
+    """What is wrong with values of the right type, as `KEY: what was wanted`."""
+    tree = msgspec.to_builtins(experiment)
+    fleet = experiment.fleet
+    if key := _endless(tree):
+        return f"{key}: wanted a finite number"
+    if not re.fullmatch(r"[A-Za-z0-9_]+", experiment.name):
+        return f"name: wanted letters, digits and _ (it names files), not {experiment.name!r}"
+    for key, least in AT_LEAST.items():
+        if (value := _value(tree, key)) < least:
+            return f"{key}: wanted {least} or more, not {value:g}"
+    for key in SHARES:
+        if not 0 <= (value := _value(tree, key)) <= 1:
+            return f"{key}: wanted a share, 0 to 1, not {value:g}"
+    if not 1 <= fleet.real + fleet.hollow <= MOST_ADDRESSES:
+        return f"fleet.real: wanted 1 to {MOST_ADDRESSES} routers, fleet.real and fleet.hollow together"
+    if fleet.servers > MOST_ADDRESSES:
+        return f"fleet.servers: wanted {MOST_ADDRESSES} at most, not {fleet.servers}"
+    if fleet.full > fleet.hollow:
+        return f"fleet.full: wanted fleet.hollow ({fleet.hollow}) at most, not {fleet.full}"
+    wrongs = (_wrong_fault(experiment, i) for i in range(len(experiment.faults)))
+    return next(filter(None, wrongs), None)
+
+
+def _wrong_fault(experiment: Experiment, number: int) -> str | None:
+    """What is wrong with a fault."""
+    fault, zones, place = experiment.faults[number], experiment.fleet.zones, f"faults[{number}]"
+    if fault.at < 0 or fault.lasts < 0 or fault.at + fault.lasts > experiment.seconds:
+        return (
+            f"{place}.at: wanted inside the schedule of {experiment.seconds:g} s, "
+            f"not {fault.at:g} s and {fault.lasts:g} s more"
+        )
+    if fault.count < 1:
+        return f"{place}.count: wanted 1 or more, not {fault.count}"
+    if not 0 <= fault.zone < zones:
+        return f"{place}.zone: wanted 0 to {zones - 1}, not {fault.zone}"
+    if not 0 <= fault.loss <= 1:
+        return f"{place}.loss: wanted a share, 0 to 1, not {fault.loss:g}"
+    return None
+
+
+def check(experiment: Experiment) -> Experiment:
+    """The same experiment. Raises ExperimentError, of the form `KEY: what was wanted`."""
+    if (wrong := _wrong(experiment)) is not None:
+        raise ExperimentError(wrong)
+    return experiment
+
+
+def at_point(experiment: Experiment, point: Mapping[str, float]) -> Experiment:
+    """The experiment with some numbers replaced, by dotted key: `{"fleet.hollow": 230, "faults.0.at": 3}`.
+
+    Raises ExperimentError that names a key that holds no number, or a value that can't be.
+    """
+    tree = msgspec.to_builtins(experiment)
+    for key, value in point.items():
+        *above, last = key.split(".")
+        try:
+            table = _value(tree, ".".join(above)) if above else tree
+            was = _value(table, last)
+        except (LookupError, TypeError, ValueError):
+            was = None
+        if isinstance(was, bool) or not isinstance(was, (int, float)):
+            raise ExperimentError(f"sweep.axes.{key}: no such number in an experiment")
+        whole = isinstance(was, int) and value == int(value)
+        table[int(last) if isinstance(table, list) else last] = int(value) if whole else value
+    try:
+        return check(msgspec.convert(tree, Experiment))
+    except msgspec.ValidationError as e:
+        raise ExperimentError(_said(e)) from None
+
+
+def points(experiment: Experiment) -> list[dict[str, float]]:
+    """The points of its sweep, in order; one that changes nothing where there are no axes.
+
+    Raises ExperimentError where axes that go together differ in length.
+    """
+    axes = experiment.sweep.axes
+    if not axes:
+        return [{}]
+    if not experiment.sweep.together:
+        return [{axis: value} for axis, values in axes.items() for value in values]
+    if len({len(values) for values in axes.values()}) > 1:
+        raise ExperimentError("sweep.axes: wanted as many values of each axis, as sweep.together is true")
+    return [dict(zip(axes, values, strict=True)) for values in zip(*axes.values(), strict=True)]
+
+
+def read_experiment(path: Path) -> Experiment:
+    """Read and check a file and each point of its sweep.
+
+    Raises ExperimentError, of the form `FILE: KEY: what was wanted`.
+    """
+    try:
+        experiment = check(msgspec.convert(tomllib.loads(path.read_text()), Experiment))
+        for point in points(experiment):
+            try:
+                at_point(experiment, point)
+            except ExperimentError as e:
+                where = ", ".join(f"{axis} = {value:g}" for axis, value in point.items())
+                raise ExperimentError(f"{e} (at {where})" if where else str(e)) from None
+    except (OSError, UnicodeDecodeError) as e:
+        raise ExperimentError(f"{path}: wanted a file that can be read: {e}") from None
+    except tomllib.TOMLDecodeError as e:
+        raise ExperimentError(f"{path}: wanted TOML: {e}") from None
+    except msgspec.ValidationError as e:
+        raise ExperimentError(f"{path}: {_said(e)}") from None
+    except ExperimentError as e:
+        raise ExperimentError(f"{path}: {e}") from None
+    return experiment
--- /dev/null
+++ b/tests/test_lab_experiment.py
@@ -0,0 +1,116 @@
+"""What an experiment file may say, and the points and files of its sweep."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from fleetlab.experiment import Experiment, ExperimentError, Fault, at_point, points, read_experiment
+from fleetlab.results import Machine, Result, write_result
+from fleetlab.sweep import chosen, is_done, plays, result_name
+
+LAB = Path(__file__).parent.parent / "lab"
+
+
+def written(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "file.toml"
+    path.write_text(text)
+    return path
+
+
+@pytest.mark.parametrize(
+    ("text", "key", "wanted"),
+    [
+        ("name = 'x", "", "wanted TOML"),
+        ("seconds = 3", "name", "wanted, but not there"),
+        ("name = 3", "name", "expected `str`, got `int`"),
+        ("name = 'a/b'", "name", "wanted letters, digits and _"),
+        ("name = 'x'\nmode = 'dead'", "mode", "invalid enum value 'dead'"),
+        ("name = 'x'\nsettel = 3", "settel", "no such key"),
+        ("name = 'x'\n[fleet]\nreel = 3", "fleet.reel", "no such key"),
+        ("name = 'x'\n[fleet]\nreal = 'many'", "fleet.real", "expected `int`, got `str`"),
+        ("name = 'x'\n[fleet]\nreal = 0", "fleet.real", "wanted 1 to 14000 routers"),
+        ("name = 'x'\n[fleet]\nreal = -1\nhollow = 3", "fleet.real", "wanted 0 or more, not -1"),
+        ("name = 'x'\n[fleet]\nzones = 0", "fleet.zones", "wanted 1 or more, not 0"),
+        ("name = 'x'\n[fleet]\nservers = 20000", "fleet.servers", "wanted 14000 at most"),
+        ("name = 'x'\n[fleet]\nfull = 1", "fleet.full", "wanted fleet.hollow (0) at most"),
+        ("name = 'x'\n[requests]\nhits = 1.5", "requests.hits", "wanted a share, 0 to 1, not 1.5"),
+        ("name = 'x'\n[requests]\nrate = inf", "requests.rate", "wanted a finite number"),
+        ("name = 'x'\n[network]\nloss = -0.1", "network.loss", "wanted a share, 0 to 1"),
+        ("name = 'x'\n[[faults]]\nkind = 'rain'\nat = 1", "faults[0].kind", "invalid enum value 'rain'"),
+        ("name = 'x'\n[[faults]]\nkind = 'restart'", "faults[0].at", "wanted, but not there"),
+        ("name = 'x'\n[[faults]]\nkind = 'restart'\nat = 31", "faults[0].at", "inside the schedule of 30 s"),
+        ("name = 'x'\n[[faults]]\nkind = 'zone_lost'\nat = 1\nzone = 4", "faults[0].zone", "wanted 0 to 3"),
+        ("name = 'x'\n[sweep.axes]\n'fleet.hollw' = [3]", "sweep.axes.fleet.hollw", "no such number"),
+        ("name = 'x'\n[sweep.axes]\n'fleet.zones' = [4, 0]", "fleet.zones", "(at fleet.zones = 0)"),
+        ("name = 'x'\n[sweep.axes]\n'fleet.zones' = [1.5]", "fleet.zones", "expected `int`, got `float`"),
+        ("name = 'x'\n[sweep]\ntogether = true\naxes = {seed = [1], settle = []}", "sweep.axes", "as many"),
+    ],
+)
+def test_an_error_names_file_key_and_what_was_wanted(
+    text: str, key: str, wanted: str, tmp_path: Path
+) -> None:
+    path = written(tmp_path, text)
+    with pytest.raises(ExperimentError) as raised:
+        read_experiment(path)
+    assert str(raised.value).startswith(f"{path}: {key}: " if key else f"{path}: ")
+    assert wanted.lower() in str(raised.value).lower()
+
+
+def test_a_missing_file_is_named(tmp_path: Path) -> None:
+    with pytest.raises(ExperimentError, match="none.toml: wanted a file"):
+        read_experiment(tmp_path / "none.toml")
+
+
+@pytest.mark.parametrize("path", sorted(LAB.glob("*.toml")), ids=lambda p: p.stem)
+def test_the_files_of_the_laboratory_are_read(path: Path) -> None:
+    assert read_experiment(path).name == path.stem
+
+
+def test_a_point_replaces_numbers_and_leaves_the_experiment() -> None:
+    experiment = Experiment(name="x", faults=[Fault(kind="restart", at=1.0)])
+    there = at_point(experiment, {"fleet.hollow": 230.0, "requests.rate": 3, "faults.0.at": 2.5, "seed": 7})
+    assert (there.fleet.hollow, there.requests.rate, there.faults[0].at, there.seed) == (230, 3, 2.5, 7)
+    assert type(there.fleet.hollow) is int
+    assert experiment == Experiment(name="x", faults=[Fault(kind="restart", at=1.0)])
+    for key in ("fleet", "name", "faults.1.at", "faults.at", "fleet.hollow.x", ""):
+        with pytest.raises(ExperimentError, match="no such number"):
+            at_point(experiment, {key: 1})
+
+
+def test_axes_go_by_themselves_or_together(tmp_path: Path) -> None:
+    text = "name = 'x'\nseed = 5\n[sweep]\nplays = 2\naxes = {'fleet.hollow' = [1, 2], 'seconds' = [3, 4]}"
+    alone = read_experiment(written(tmp_path, text))
+    assert points(alone) == [{"fleet.hollow": 1}, {"fleet.hollow": 2}, {"seconds": 3}, {"seconds": 4}]
+    together = read_experiment(written(tmp_path, text + "\ntogether = true"))
+    assert points(together) == [{"fleet.hollow": 1, "seconds": 3}, {"fleet.hollow": 2, "seconds": 4}]
+    assert points(Experiment(name="x")) == [{}]
+    names = [path.name for _, _, path in plays(alone, tmp_path, [1, 2])]
+    assert names == [
+        "x-fleet.hollow-2-s5.json",
+        "x-seconds-3-s5.json",
+        "x-fleet.hollow-2-s6.json",
+        "x-seconds-3-s6.json",
+    ]
+    assert result_name(alone, {}, 9) == "x-s9.json"
+
+
+def test_points_are_chosen_by_number_and_range() -> None:
+    assert chosen([], 3) == [0, 1, 2]
+    assert chosen(["2..3", "5.."], 6) == [1, 2, 4, 5]
+    assert chosen(["..2", "1"], 6) == [0, 1]
+    for wrong in ("0", "7", "x", "3..2", "1..9"):
+        with pytest.raises(ValueError, match="wanted"):
+            chosen([wrong], 6)
+
+
+def test_a_play_that_was_broken_off_is_not_done(tmp_path: Path) -> None:
+    path = tmp_path / "r.json"
+    assert not is_done(path)
+    result = Result(Experiment(name="x"), 1, "c", False, "", "", Machine("", 1, 1, ""), broken_off=True)
+    write_result(path, result)
+    assert not is_done(path)
+    write_result(path, msgspec.structs.replace(result, broken_off=False))
+    assert is_done(path)
