--- a/fleetlab/runner.py
+++ b/fleetlab/runner.py
@@ -28,7 +28,7 @@
 
 from fleetlab.experiment import Experiment, ExperimentError
 from fleetlab.measure import Sampler, Watched, merge, over
-from fleetlab.plan import Addresses, Message, Part, Plan, config_of
+from fleetlab.plan import Addresses, Message, Part, Plan, config_of, hollow_lists
 from fleetlab.results import Machine, Result, Role
 
 ROOT = Path(__file__).parent.parent
@@ -36,6 +36,7 @@
 MOST_LINE = 64 << 20  # bytes of a worker's last line
 SOCKETS = 1024  # descriptors of a real router, as on the platform
 LEAD = 0.5  # seconds from the line that says when the schedule begins until it does
+BUSY = 0.9  # share of the machine's processor time over which times are said to be unsure
 REPORTING = 20.0  # seconds that workers get, after the schedule, for their last line
 ENDING = 8.0  # seconds from SIGTERM to SIGKILL: workers take up to five for their last line
 STARTS = 3  # tries, where an address is taken after all
@@ -68,6 +69,7 @@
     workers: int
     routers: int
     memory_mb: float
+    descriptors: int  # of the process that holds most: discovery's listeners and connections, one for each
 
     @property
     def processes(self) -> int:
@@ -78,9 +80,7 @@
     """The workers of a live play, in the order of their start, each with its hollow routers."""
     fleet = experiment.fleet
     parts: list[tuple[Part, list[int]]] = [(part, []) for part in BEFORE_ROUTERS]
-    numbers = list(range(fleet.real, fleet.real + fleet.hollow))
-    for i in range(min(fleet.processes, fleet.hollow)):
-        parts.append(("hollow", numbers[i :: fleet.processes]))  # dealt round, so that all hold all zones
+    parts += [("hollow", numbers) for numbers in hollow_lists(experiment)]
     if fleet.real:
         parts.append(("clients", []))
     return parts
@@ -94,12 +94,12 @@
     """
     fleet = experiment.fleet
     if experiment.mode == "module":
-        return Estimate(1, 0, 45 + 0.3 + 0.02 * (fleet.real + fleet.hollow) + 0.0042 * fleet.servers)
+        return Estimate(1, 0, 45 + 0.3 + 0.02 * (fleet.real + fleet.hollow) + 0.0042 * fleet.servers, 64)
     view = 0.0042 * fleet.servers
     workers = len(parts_of(experiment))
     standins = 0.06 * (fleet.real + fleet.hollow) * 2 + 0.02 * fleet.servers  # discovery and network
     memory = 45 * workers + (35 + view) * fleet.real + (0.3 + view) * fleet.hollow + standins
-    return Estimate(workers, fleet.real, memory)
+    return Estimate(workers, fleet.real, memory, 64 + 2 * (fleet.real + fleet.hollow))
 
 
 def refuse_beyond_bounds(experiment: Experiment) -> Estimate:
@@ -117,6 +117,11 @@
             f"an estimated {needs.memory_mb:.0f} MB is over the bound of {memory:.0f} MB "
             f"(memory_share = {experiment.memory_share:g} of the machine's memory)"
         )
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    if hard != resource.RLIM_INFINITY and needs.descriptors > hard:
+        raise Refused(
+            f"discovery needs {needs.descriptors} descriptors, over the bound of {hard} (ulimit -Hn)"
+        )
     return needs
 
 
@@ -204,7 +209,7 @@
             lock.close()
             continue
         return addresses, lock
-    raise Failed("no free addresses on loopback after 50 tries")
+    raise Refused("no free addresses on loopback after 50 tries")
 
 
 def commit_of(root: Path = ROOT) -> tuple[str, bool]:
@@ -465,8 +470,7 @@
             if child.part == "real":
                 watched.append(Watched("real", child.name, child.process.pid, connections=True))
             else:
-                role = "lab" if child.part == "module" else child.part
-                watched.append(Watched(role, child.name, child.process.pid, "process."))
+                watched.append(Watched(child.part, child.name, child.process.pid, "process."))
         return watched
 
     async def _sample(self) -> None:
@@ -645,6 +649,10 @@
             continue
         break
     notes += play.notes
+    roles = play.roles()
+    busy = roles["lab"].metrics.get("machine.cpu.share") if "lab" in roles else None
+    if busy is not None and busy.value > BUSY:
+        notes.append(f"the machine was {busy.value:.0%} busy, with what else ran: times are unsure")
     if why:
         notes.append(f"broken off: {why}")
     result = Result(
@@ -655,7 +663,7 @@
         command=options.command,
         began=began,
         machine=machine(),
-        roles=play.roles(),
+        roles=roles,
         notes=notes,
         broken_off=bool(why),
     )
--- a/tests/test_lab_runner.py
+++ b/tests/test_lab_runner.py
@@ -132,6 +132,13 @@
     assert refuse_beyond_bounds(Experiment(name="x")).processes == 9
 
 
+def test_too_few_descriptors_refuse_as_well(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("fleetlab.runner.resource.getrlimit", lambda _: (100, 500))
+    assert refuse_beyond_bounds(Experiment(name="x", fleet=Fleet(hollow=200)))
+    with pytest.raises(Beyond, match=r"needs 530 descriptors, over the bound of 500"):
+        refuse_beyond_bounds(Experiment(name="x", fleet=Fleet(real=3, hollow=230)))
+
+
 def test_the_estimate_grows_with_routers_and_servers() -> None:
     def memory(**fleet: int) -> float:
         return estimate(Experiment(name="x", fleet=Fleet(**fleet))).memory_mb
