Make slopes, plots, a summary and the capacity page from results

Lines go through all plays of an experiment by least squares (slopes.py), each with its standard error and the range over plays, and say how far a size lies beyond what was measured. The page (capacity.py, capacity.md.in) puts them beside the users' limits of lab/size-users.toml; what was not measured says so, and summaries of results alone make the same page.

--- /dev/null
+++ b/tests/test_lab_report.py
@@ -0,0 +1,212 @@
+"""The report: known lines are found again, and the page says what was measured and nothing else."""
+
+import math
+import re
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from fleetlab import capacity, report, slopes
+from fleetlab.experiment import Experiment, Fault, Fleet, Requests
+from fleetlab.results import Machine, Metric, Result, Role, write_result
+
+USERS = {"routers": 2300.0, "servers": 930.0, "requests.rate": 565.0, "requests.hollow_rate": 565.0}
+Given = Callable[[int, int, int], dict[str, dict[str, float]]]  # routers, servers, seed: roles' metrics
+
+
+def play(
+    folder: Path,
+    size: tuple[int, int],
+    seed: int,
+    roles: dict[str, dict[str, float]],
+    *,
+    name: str = "grow",
+    faults: list[Fault] | None = None,
+    broken_off: bool = False,
+) -> Path:
+    """Write a made-up result of a size, routers and servers."""
+    routers, servers = size
+    fleet = Fleet(real=4, hollow=routers - 4, servers=servers)
+    experiment = Experiment(
+        name=name, mode="live", seed=seed, fleet=fleet, requests=Requests(), faults=faults or []
+    )
+    result = Result(
+        experiment,
+        seed,
+        "0123456789abcdef",
+        False,
+        "/some/where/python -m fleetlab run grow.toml",
+        "2026-01-01T00:00:00Z",
+        Machine("a processor", 8, 16000, "3.11"),
+        {r: Role(1, {m: Metric(v, "u") for m, v in metrics.items()}) for r, metrics in roles.items()},
+        broken_off=broken_off,
+    )
+    path = folder / f"{name}-{routers}-{servers}-{seed}.json"
+    write_result(path, result)
+    return path
+
+
+def grow(folder: Path, given: Given, seeds: int = 3) -> list[Path]:
+    """A sweep of routers, and one of servers from its first point."""
+    sizes = [(10, 13), (100, 13), (200, 13), (10, 120)]
+    return [play(folder, (r, s), seed, given(r, s, seed)) for r, s in sizes for seed in range(1, seeds + 1)]
+
+
+def line_of(paths: list[Path], role: str, metric: str) -> slopes.Fit:
+    return next(f for f in slopes.fits(slopes.read(paths)) if (f.role, f.metric) == (role, metric))
+
+
+def test_an_exact_line_is_found_with_no_error(tmp_path: Path) -> None:
+    line = line_of(
+        grow(tmp_path, lambda r, s, seed: {"hollow": {"x": 1 + 0.5 * r + 0.25 * s}}), "hollow", "x"
+    )
+    assert line.intercept == pytest.approx(1)
+    assert [t.axis for t in line.terms] == ["routers", "servers"]
+    assert [t.slope for t in line.terms] == pytest.approx([0.5, 0.25])
+    assert [t.error for t in line.terms] == pytest.approx([0, 0], abs=1e-9)
+    value = line.at(USERS)
+    assert value is not None and value.value == pytest.approx(1 + 0.5 * 2300 + 0.25 * 930)
+    assert value.beyond == pytest.approx(2300 / 200) and not value.measured
+    assert value.held == {"requests.hollow_rate": 4.0} and not line.few
+
+
+def test_the_error_is_that_of_the_residuals_and_plays_give_the_range(tmp_path: Path) -> None:
+    # two sizes, a play above and one below at each: the textbook's standard error is sqrt(s² / Sxx)
+    off = {1: -1.0, 2: 1.0, 3: 0.0}
+    paths = [
+        play(tmp_path, (r, 13), seed, {"real": {"x": 2.0 * r + off[seed] * r / 100}})
+        for r in (100, 300)
+        for seed in off
+    ]
+    term = line_of(paths, "real", "x").terms[0]
+    residuals = 2 * 1.0 + 2 * 9.0
+    assert term.slope == pytest.approx(2)
+    assert term.error == pytest.approx(math.sqrt(residuals / (6 - 2) / (6 * 100**2)))
+    assert [term.low, term.high] == pytest.approx([1.99, 2.01])
+    at_point = line_of(paths, "real", "x").at({"routers": 100, "servers": 13})
+    assert at_point is not None and at_point.measured and (at_point.low, at_point.high) == (199, 201)
+
+
+def test_axes_that_varied_together_share_a_term(tmp_path: Path) -> None:
+    paths = [play(tmp_path, (n, n), 1, {"real": {"x": 3.0 * n}}) for n in (10, 20, 40)]
+    line = line_of(paths, "real", "x")
+    assert [t.axis for t in line.terms] == ["routers"] and line.together == ["servers"] and line.few
+
+
+def test_one_size_says_nothing_of_another(tmp_path: Path) -> None:
+    line = line_of([play(tmp_path, (10, 13), 1, {"real": {"x": 3.0}})], "real", "x")
+    assert line.at(USERS) is None and line.terms == []
+    here = line.at({"routers": 10, "servers": 13})
+    assert here is not None and here.value == 3.0
+
+
+def test_sweeps_of_several_experiments_make_one_plane(tmp_path: Path) -> None:
+    paths = [play(tmp_path, (r, 13), 1, {"real": {"x": 1.0 * r + 26}}, name="routers") for r in (10, 20, 40)]
+    paths += [play(tmp_path, (10, s), 1, {"real": {"x": 10 + 2.0 * s}}, name="servers") for s in (26, 52)]
+    chosen = slopes.choose(slopes.fits(slopes.read(paths)), [("real", "x")], USERS)
+    assert chosen is not None and chosen[0].experiment == "routers+servers"
+    assert chosen[1].value == pytest.approx(2300 + 2 * 930)
+
+
+def test_a_calm_experiment_goes_before_one_in_which_something_happens(tmp_path: Path) -> None:
+    lost = [Fault(kind="servers_lost", at=1.0)]
+    paths = [
+        play(tmp_path, (r, 13), 1, {"real": {"x": 9.0 * r}}, name="bad", faults=lost) for r in (10, 99, 500)
+    ]
+    bad = slopes.fits(slopes.read(paths))
+    paths += [play(tmp_path, (r, 13), 1, {"real": {"x": 1.0 * r}}, name="calm") for r in (10, 20)]
+    lines = slopes.fits(slopes.read(paths))
+    for steady, among, value in ((True, lines, 2300), (False, lines, 9 * 2300), (True, bad, 9 * 2300)):
+        chosen = slopes.choose(among, [("real", "none"), ("real", "x")], USERS, steady)
+        assert chosen is not None and chosen[1].value == pytest.approx(value)
+
+
+def test_what_is_missing_or_broken_off_is_left_out(tmp_path: Path) -> None:
+    paths = [play(tmp_path, (r, 13), 1, {"real": {"x": float(r)}}) for r in (10, 20, 40)]
+    paths.append(play(tmp_path, (80, 13), 1, {"real": {"y": 1.0}}))
+    paths.append(play(tmp_path, (160, 13), 1, {"real": {"x": 9999.0}}, broken_off=True))
+    line = line_of(paths, "real", "x")
+    assert line.terms[0].slope == pytest.approx(1) and line.terms[0].most == 40
+    bad = tmp_path / "bad.json"
+    bad.write_text("[]")
+    with pytest.raises(ValueError, match="bad.json is neither"):
+        slopes.read([bad])
+
+
+def figures(r: int, s: int, seed: int) -> dict[str, dict[str, float]]:
+    noise = 1 + 0.01 * (seed - 2)
+    hollow = {"cpu.control": 1e-4 * r * noise, "bytes.in.peers": 20.0 * r, "bytes.out.peers": 100.0}
+    module = {"state.mb": 1 + 0.01 * s, "rate.peer": 0.5 * r, "cpu.us.peer": 20.0, "cpu.us.change": 900.0}
+    return {"hollow": hollow, "module": module}
+
+
+def test_the_page_lists_limits_passed_worst_first_and_leaves_gaps(tmp_path: Path) -> None:
+    paths = grow(tmp_path / "r", figures)
+    cut = Fault(kind="region_cut", at=1.0, lasts=5.0)
+    paths.append(play(tmp_path / "r", (40, 13), 1, {"hollow": {"force.max": 4.5}}, name="cut", faults=[cut]))
+    page = tmp_path / "CAPACITY.md"
+    report.make(paths, tmp_path / "out", page)
+    text = page.read_text()
+    passed = text.split("## Lines that pass")[1].split("Within their limit")[0]
+    ratios = [float(line.split("**")[1].replace(",", "")) for line in passed.splitlines() if "**" in line]
+    assert ratios == sorted(ratios, reverse=True) and min(ratios) > 1 and len(ratios) >= 5
+    assert (
+        "**19.2** Router: processor: control, share of a core, with sockets: 0.23 (" in passed
+    )  # 1e-4 × 2300 / 0.012
+    assert "**2.5** Router: connections: to servers, one each: 930 against 372" in passed  # and a formula
+    assert "state, MB" not in passed  # 10.3 of 32
+    row = next(line for line in text.splitlines() if "control, a second: peers and discovery" in line)
+    assert "at least" in row and "×11.5 beyond" in row  # two of four were measured
+    alone = next(line for line in text.splitlines() if "share of a core, module alone" in line)
+    assert "at least 0.023 (" in alone  # 0.5 × 2300 × 20 / 1e6
+    assert "| real router's process, MB | not measured | not measured | not measured |" in text.replace(
+        "a real", "real"
+    )
+    assert "The 8 control machines" in text and "The fleet as a whole: time: a purge done everywhere" in text
+    assert "played (R1†): region_cut; 40 routers, 13 servers: hollow force.max 4.5" in text
+    assert "cut-40-13-1.json" in text and "{{" not in text and "nan" not in text
+    assert "Not written yet" in text or (report.LAB / report.DECISION).exists()
+
+
+def test_nothing_measured_is_said_so(tmp_path: Path) -> None:
+    page = tmp_path / "CAPACITY.md"
+    report.make([], tmp_path / "out", page)
+    text = page.read_text()
+    assert "None: nothing has been measured." in text
+    cells = [c.strip() for line in text.splitlines() if line.startswith("| ") for c in line.split("|")]
+    assert cells.count("not measured") > 100
+    assert not [c for c in cells if re.search(r"\d \(.* to .*\)", c) and not c.startswith("formula")]
+
+
+def test_the_summary_alone_makes_the_same_page(tmp_path: Path) -> None:
+    lab = tmp_path / "lab"
+    lab.mkdir()
+    (lab / report.SIZES).write_bytes((report.LAB / report.SIZES).read_bytes())
+    (lab / report.DECISION).write_text("First {{this}}, \\1 then that.\n")
+    paths = grow(tmp_path / "r", lambda r, s, seed: {"hollow": figures(r, s, seed)["hollow"]}, 2)
+    paths.append(play(tmp_path / "r", (400, 13), 1, {}, broken_off=True))
+    first, again, both = (tmp_path / n for n in ("first", "again", "both"))
+    report.make(paths, first, first / "page.md", lab)
+    report.make([first / "measured.json"], again, again / "page.md", lab)
+    report.make([first, tmp_path / "r"], both, both / "page.md", lab)  # a play met twice counts once
+    for name in ("page.md", "measured.json", "slopes.json", "summary.md"):
+        assert (first / name).read_bytes() == (again / name).read_bytes() == (both / name).read_bytes()
+    assert "First {{this}}, \\1 then that." in (first / "page.md").read_text()
+    assert "/some/where" not in (first / "measured.json").read_text()
+    plot = first / "grow-hollow-cpu.control.png"
+    assert plot.read_bytes().startswith(b"\x89PNG")
+    assert not (first / "grow-hollow-bytes.out.peers.png").exists()  # it does not vary
+    assert len(msgspec.json.decode((first / "slopes.json").read_bytes(), type=list[slopes.Fit])) == 3
+
+
+def test_sizes_and_settings_are_read_by_name(tmp_path: Path) -> None:
+    given = capacity.read_given(report.LAB / report.SIZES)
+    users = given.sizes["users"]
+    assert users.routers * users.rate == pytest.approx(1.3e6, rel=0.01)
+    assert set(capacity.SIZES) <= set(tomllib.loads((report.LAB / report.SIZES).read_text())["sizes"])
+    experiment = Experiment(name="x", mode="model", faults=[Fault(kind="changes", at=2)])
+    flat = slopes.flatten(msgspec.to_builtins(experiment))
+    assert flat["faults.0.kind"] == "changes" and flat["fleet.servers"] == 13.0 and "name" not in flat
