--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -24,7 +24,7 @@
 from brackenwalk.telling import TELL, TELLERS
 from fleetlab.experiment import Experiment, Fleet
 from fleetlab.plan import Addresses, Plan, entry_of, first_list
-from fleetlab.slopes import Fit, Point, Value, choose
+from fleetlab.slopes import RATES, Fit, Point, Value, choose
 
 FRAME = Path(__file__).with_name("capacity.md.in")
 SIZES = ("today", "full", "users")
@@ -44,7 +44,7 @@
 
     def axes(self) -> dict[str, float]:
         """As `slopes` names them."""
-        both = dict.fromkeys(("requests.rate", "requests.hollow_rate"), self.rate)
+        both = dict.fromkeys(RATES.values(), self.rate)
         return {"routers": self.routers, "servers": self.servers, **both}
 
 
@@ -116,10 +116,11 @@
     for axis, held in sorted(value.held.items()):
         marks.append(f"at {number(held)} {axis if '.' not in axis else 'requests/s'}")
     marks += [f"varied with {a}" for a in line.together]
-    if line.metric.endswith("peers") and line.listening < 1:
-        marks.append(f"{number(line.listening)} of the routers listened")
+    if line.deaf:
+        marks.append(f"a mean over hollow routers of which {number(line.listening)} heard peers")
     marks += [f"while {f}" for f in line.faults]
-    return Cell(scale * value.value, scale * value.low, scale * value.high, marks, [line])
+    ends = scale * value.value, scale * value.low, scale * value.high
+    return Cell(*ends, marks, [line], partial=line.deaf)
 
 
 def measured(*wanted: tuple[str, str], steady: bool = True, scale: float = 1.0) -> Figures:
@@ -132,12 +133,26 @@
     return cell
 
 
-def total(role: str, metrics: Sequence[str]) -> Figures:
-    """The sum of a role's metrics; a lower bound where one of them was not measured."""
+def scaled(of: Figures, by: Callable[[Size], float], text: str) -> Figures:
+    """A figure times what follows from the size."""
 
     def cell(lines: Sequence[Fit], size: Size) -> Cell | None:
-        cells = [measured((role, m))(lines, size) for m in metrics]
-        return _sum([c for c in cells if c is not None], len(metrics), "the sum of " + ", ".join(metrics))
+        got = of(lines, size)
+        if got is None:
+            return None
+        factor = by(size)
+        ends = factor * got.value, factor * got.low, factor * got.high
+        return Cell(*ends, got.marks, got.fits, text, got.partial)
+
+    return cell
+
+
+def total(text: str, parts: Sequence[Figures]) -> Figures:
+    """A sum; a lower bound where one of its parts was not measured."""
+
+    def cell(lines: Sequence[Fit], size: Size) -> Cell | None:
+        cells = [part(lines, size) for part in parts]
+        return _sum([c for c in cells if c is not None], len(parts), text)
 
     return cell
 
@@ -153,7 +168,13 @@
         math.fsum(c.low for c in cells),
         math.fsum(c.high for c in cells),
     )
-    return Cell(*known, marks, [f for c in cells for f in c.fits], formula, len(cells) < wanted)
+    return Cell(
+        *known,
+        marks,
+        [f for c in cells for f in c.fits],
+        formula,
+        len(cells) < wanted or any(c.partial for c in cells),
+    )
 
 
 def control_share(lines: Sequence[Fit], size: Size) -> Cell | None:
@@ -163,13 +184,18 @@
         rate = measured(("module", f"rate.{kind}"), ("hollow", f"rate.{kind}"))(lines, size)
         cost = measured(("module", f"cpu.us.{kind}"), ("hollow", f"cpu.us.{kind}"))(lines, size)
         if rate is not None and cost is not None:
+            if kind == "tell" and (plain := measured(("module", "cpu.us.request"))(lines, size)) is not None:
+                # it is the whole of a request that tells
+                less = plain.value
+                ends = [max(0.0, end - less) for end in (cost.value, cost.low, cost.high)]
+                cost = Cell(ends[0], ends[1], ends[2], cost.marks, cost.fits)
             ends = [max(0.0, rate.low) * max(0.0, cost.low), rate.high * cost.high]
             marks = sorted({*rate.marks, *cost.marks} - {"measured"})
             both = Cell(
                 rate.value * cost.value / 1e6, ends[0] / 1e6, ends[1] / 1e6, marks, rate.fits + cost.fits
             )
             parts.append(both)
-    return _sum(parts, len(KINDS), "the sum of rate.KIND × cpu.us.KIND")
+    return _sum(parts, len(KINDS), "the sum of rate.KIND × cpu.us.KIND, of tell what is more than a request")
 
 
 def formula(text: str, of: Callable[[Size], float]) -> Figures:
@@ -184,7 +210,7 @@
 
 def in_force(which: str) -> list[tuple[str, str]]:
     """Where the time until a change is in force may stand."""
-    return [(role, f"force.{which}") for role in ("hollow", "real", "lab", "discovery", "network")]
+    return [(role, f"force.{which}") for role in ("hollow", "real", "discovery", "lab")]
 
 
 def nothing(lines: Sequence[Fit], size: Size) -> Cell | None:
@@ -220,6 +246,7 @@
     deltas = "list deltas; the ring is rebuilt whole by `Ring.settle`"
     missing = "missing"
     peers_rate = ("hollow", "rate.peer"), ("module", "rate.peer"), ("real", "rate.peer")
+    peers_in = measured(("network", "bytes.in.peers"), ("hollow", "bytes.in.peers"))
     at_discovery = "one discovery for all routers, calls one after another"
     cores = float(deploy["server_cores"])
     fewest, most = (cores * float(c) for c in deploy["connections_core"])
@@ -264,14 +291,28 @@
             "bytes",
             "control, a second: peers and discovery, in and out",
             f"{watch}; {deltas}; {tellers}",
-            total("hollow", [f"bytes.{w}.{of}" for of in ("peers", "discovery") for w in ("in", "out")]),
+            total(
+                "from and to peers and discovery",
+                [
+                    peers_in,
+                    measured(("hollow", "bytes.out.peers")),
+                    *(measured(("hollow", f"bytes.{way}.discovery")) for way in ("in", "out")),
+                ],
+            ),
             limit_bytes,
         ),
         Row(
             "bytes",
             "control at a real router, a second",
             f"{watch}; {deltas}; {tellers}",
-            total("real", [f"bytes.{w}.{of}" for of in ("peers", "discovery") for w in ("in", "out")]),
+            total(
+                "from and to peers (a mean router's) and discovery",
+                [
+                    peers_in,
+                    scaled(measured(("network", "sent.bytes")), lambda s: 1 / s.routers, ""),
+                    *(measured(("discovery", f"bytes.{way}.discovery.real")) for way in ("in", "out")),
+                ],
+            ),
             limit_bytes,
         ),
         Row(
@@ -312,12 +353,26 @@
             "processor",
             "control, share of a core, with sockets",
             f"{watch}; {deltas}; {tellers}",
-            measured(("hollow", "cpu.control"), ("real", "cpu.control")),
+            measured(("full", "cpu.control"), ("hollow", "cpu.control")),
             limits["control_share"],
         ),
         Row(
             "processor",
-            "control, share of a core, module alone",
+            "control as the module alone has it, share of a core",
+            f"{deltas}; {tellers}; timers",
+            measured(("module", "cpu.control")),
+            limits["control_share"],
+        ),
+        Row(
+            "processor",
+            "control in the worst second of a zone's loss, module alone, share of a core",
+            ailing,
+            measured(("module", "storm.cpu.control"), steady=False),
+            limits["control_share"],
+        ),
+        Row(
+            "processor",
+            "control, a sum over kinds, module alone, share of a core",
             f"{deltas}; {tellers}; timers",
             control_share,
             limits["control_share"],
@@ -397,11 +452,27 @@
             "`Router._choose`: the bounded walk",
             formula("routers × requests/s / servers", lambda s: s.routers * s.rate / s.servers),
         ),
+        Row(
+            "messages",
+            "requests at all of them, measured, a second",
+            "`Router._choose`",
+            measured(("caches", "requests")),
+        ),
         Row("messages", "purges, a second", missing, nothing),
         Row("bytes", "control", missing, nothing),
         Row("processor", "share of a core of the stand-in", "stand-in", measured(("caches", "cpu.share"))),
-        Row("memory", "of the stand-in, MB", "stand-in", measured(("caches", "memory.mb"))),
-        Row("descriptors", "of the stand-in", "stand-in", measured(("caches", "descriptors"))),
+        Row(
+            "memory",
+            "of the stand-in, all of them, MB",
+            "stand-in",
+            measured(("caches", "process.memory.mb")),
+        ),
+        Row(
+            "descriptors",
+            "of the stand-in, all of them",
+            "stand-in",
+            measured(("caches", "process.descriptors")),
+        ),
         Row(
             "connections",
             "from routers",
@@ -457,8 +528,22 @@
                 lambda s: s.routers * float(deploy["call_ms"]) / 1000,
             ),
         ),
-        Row("bytes", "out, a second", deltas, measured(("discovery", "bytes.out.discovery"))),
-        Row("bytes", "in, a second", watch, measured(("discovery", "bytes.in.discovery"))),
+        Row(
+            "bytes",
+            "out, a second",
+            deltas,
+            scaled(
+                measured(("discovery", "bytes.out.discovery")), lambda s: s.routers, "routers × each one's"
+            ),
+        ),
+        Row(
+            "bytes",
+            "in, a second",
+            watch,
+            scaled(
+                measured(("discovery", "bytes.in.discovery")), lambda s: s.routers, "routers × each one's"
+            ),
+        ),
         Row(
             "processor",
             "share of a core of the stand-in",
@@ -467,9 +552,19 @@
             1.0,
             "protocol: calls one after another",
         ),
-        Row("memory", "of the stand-in, MB", at_discovery, measured(("discovery", "memory.mb"))),
-        Row("descriptors", "of the stand-in", at_discovery, measured(("discovery", "descriptors"))),
-        Row("connections", "measured", watch, measured(("discovery", "connections"))),
+        Row(
+            "memory",
+            "of the stand-in, all of them, MB",
+            at_discovery,
+            measured(("discovery", "process.memory.mb")),
+        ),
+        Row(
+            "descriptors",
+            "of the stand-in, all of them",
+            at_discovery,
+            measured(("discovery", "process.descriptors")),
+        ),
+        Row("connections", "measured", watch, nothing),
         Row("connections", "a watch of each router", watch, formula("routers", lambda s: s.routers)),
     ]
     control = [
@@ -490,22 +585,29 @@
     origin = [
         Row("state", "objects", "the origin's own", nothing),
         Row(
-            "messages",
-            "requests, a second",
-            "fetches after a miss; writes",
-            measured(("origin", "calls"), ("origin", "rate.request")),
+            "messages", "requests, a second", "fetches after a miss; writes", measured(("origin", "requests"))
         ),
         Row(
             "messages",
-            "served, share",
+            "requests of clients served, share",
             "`Router._serve_queue`: worth first, then age",
-            measured(("origin", "served")),
+            measured(("clients", "served")),
         ),
         Row("bytes", "out, a second", "`OriginConnection`", measured(("origin", "bytes.out"))),
         Row("processor", "share of a core of the stand-in", "stand-in", measured(("origin", "cpu.share"))),
-        Row("memory", "of the stand-in, MB", "stand-in", measured(("origin", "memory.mb"))),
-        Row("descriptors", "of the stand-in", "stand-in", measured(("origin", "descriptors"))),
-        Row("connections", "measured", "`Pool`", measured(("origin", "connections"))),
+        Row(
+            "memory",
+            "of the stand-in, all of them, MB",
+            "stand-in",
+            measured(("origin", "process.memory.mb")),
+        ),
+        Row(
+            "descriptors",
+            "of the stand-in, all of them",
+            "stand-in",
+            measured(("origin", "process.descriptors")),
+        ),
+        Row("connections", "measured", "`Pool`", nothing),
         Row(
             "connections",
             "at most",
@@ -518,7 +620,7 @@
     ]
 
     def forced(which: str) -> Figures:
-        return measured(*in_force(which), steady=False)
+        return measured(*in_force(which))
 
     whole = [
         Row("time", "a change in force, half of them, seconds", f"{watch}; {deltas}", forced("p50")),
@@ -775,7 +877,7 @@
         lines = {
             "purge_cost": self.times(purges / 1e6, *peer, unit="of a core"),
             "change_cost": self.times(changes / DAY / 1e6, *change, unit="of a core"),
-            "force_max": self.say(*in_force("max"), unit="s", steady=False),
+            "force_max": self.say(*in_force("max"), unit="s"),
             "renewed_cost": self.times(renewed / 1e6, *change, unit="s a day"),
             "list_cost": self.say(("module", "cpu.us.list"), ("hollow", "cpu.us.list"), unit="microseconds"),
             "storm_rate": self.say(("module", "storm.rate.peer"), unit="datagrams a second", steady=False),
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -28,7 +28,15 @@
     *("fleet.real", "fleet.hollow", "fleet.servers"),  # routers and servers stand for these
 )
 NOT_KEPT = ("name", "mode", "seed", "sweep", "memory_share", "most_processes")
-RATES = {"real": "requests.rate", "hollow": "requests.hollow_rate", "module": "requests.hollow_rate"}
+RATES = {  # what a role's routers are asked
+    "real": "requests.rate",
+    "hollow": "requests.hollow_rate",
+    "full": "requests.full_rate",
+    "module": "requests.full_rate",
+}
+DAILY = {"changes", "servers_change"}  # what happens on any day
+# what hollow routers that do not hear peers lower, in the mean of all
+HEARD = ("cpu.control", "cpu.share", "rate.peer", "bytes.in.peers")
 
 Setting = float | str | bool
 
@@ -126,6 +134,11 @@
     faults: list[str]
     listening: float
 
+    @property
+    def deaf(self) -> bool:
+        """Whether it is a mean over routers of which some did not hear peers: less than of those that did."""
+        return self.role in ("hollow", "full") and self.listening < 1 and self.metric in HEARD
+
     @property
     def few(self) -> bool:
         """Whether a point has too few plays."""
@@ -390,16 +403,23 @@
     """The line to go by at a size, of the first role and metric wanted that has one.
 
     A measured point goes first, then lines with terms for both routers and servers, then those that reach
-    the least beyond what was measured; `steady` prefers experiments in which nothing happens.
+    the least beyond what was measured; `steady` prefers experiments in which nothing happens but the daily.
     """
     for role, metric in wanted:
         found = []
         for line in lines:
             if (line.role, line.metric) == (role, metric) and (value := line.at(size)) is not None:
                 near = sum(t.axis in ("routers", "servers") for t in line.terms)
-                happens = bool(steady and line.faults)
-                part = line.metric.endswith("peers") and line.listening < 1
-                rank = (happens, part, not value.measured, len(value.held), -near, value.beyond, line.few)
+                happens = bool(steady and set(line.faults) - DAILY)
+                rank = (
+                    happens,
+                    line.deaf,
+                    not value.measured,
+                    len(value.held),
+                    -near,
+                    value.beyond,
+                    line.few,
+                )
                 found.append((rank, line.experiment, line, value))
         if found:
             _, _, line, value = min(found, key=lambda f: f[:2])
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -13,7 +13,7 @@
 from fleetlab.experiment import Experiment, Fault, Fleet, Requests
 from fleetlab.results import Machine, Metric, Result, Role, write_result
 
-USERS = {"routers": 2300.0, "servers": 930.0, "requests.rate": 565.0, "requests.hollow_rate": 565.0}
+USERS = {"routers": 2300.0, "servers": 930.0, **dict.fromkeys(slopes.RATES.values(), 565.0)}
 Given = Callable[[int, int, int], dict[str, dict[str, float]]]  # routers, servers, seed: roles' metrics
 
 
@@ -160,7 +160,7 @@
     assert "state, MB" not in passed  # 10.3 of 32
     row = next(line for line in text.splitlines() if "control, a second: peers and discovery" in line)
     assert "at least" in row and "×11.5 beyond" in row  # two of four were measured
-    alone = next(line for line in text.splitlines() if "share of a core, module alone" in line)
+    alone = next(line for line in text.splitlines() if "a sum over kinds, module alone" in line)
     assert "at least 0.023 (" in alone  # 0.5 × 2300 × 20 / 1e6
     assert "| real router's process, MB | not measured | not measured | not measured |" in text.replace(
         "a real", "real"
