--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -833,6 +833,7 @@
             "watch": WATCH_WAIT,
             "margin": ANSWER_MARGIN,
             "faulty": FAULTY,
+            "tellers": TELLERS,
             "silence": SILENCE,
             "purges_rate": purges,
             "purge_within": limits["purge_within"],
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -147,7 +147,8 @@
     def at(self, size: dict[str, float]) -> Value | None:
         """The figure at a size, given by axes; None where neither a point nor a line reaches it.
 
-        The range is the standard error's, `ERRORS` on either side, widened to what single plays say.
+        The range is the standard error's, `ERRORS` on either side, widened to what single plays say. A line
+        that falls below 0, where nothing measured did, is no line there: None as well.
         """
         near = ("routers", "servers")
         rate = RATES.get(self.role)
@@ -163,6 +164,9 @@
             return None
         x = [1.0, *(size.get(t.axis, self.base[t.axis]) for t in self.terms)]
         value_at = float(np.dot([self.intercept, *(t.slope for t in self.terms)], x))
+        floor = 0.0 if all(value.low >= 0 for _, value, _ in self.at_points) else -math.inf
+        if value_at < floor:
+            return None
         said = [float(np.dot(c, x)) for c in self.singles] or [value_at]
         wide = 0.0
         if self.covariance is not None:
@@ -170,7 +174,8 @@
         beyond = max(_beyond(v, t) for v, t in zip(x[1:], self.terms, strict=True))
         held = {a: self.base[a] for a in looked if a not in terms and self.base[a] != size[a]}
         held = {a: v for a, v in held.items() if a not in self.together}
-        return Value(value_at, min(value_at - wide, *said), max(value_at + wide, *said), False, beyond, held)
+        low, high = min(value_at - wide, *said), max(value_at + wide, *said)
+        return Value(value_at, max(floor, low), high, False, beyond, held)
 
 
 def _beyond(value: float, term: Term) -> float:
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -103,6 +103,13 @@
     assert here is not None and here.value == 3.0
 
 
+def test_a_line_below_nothing_says_nothing(tmp_path: Path) -> None:
+    paths = [play(tmp_path, (r, 13), 1, {"real": {"x": 100.0 - r}}) for r in (10, 20, 40)]
+    assert line_of(paths, "real", "x").at(USERS) is None
+    at_90 = line_of(paths, "real", "x").at({"routers": 90, "servers": 13})
+    assert at_90 is not None and at_90.value == pytest.approx(10)
+
+
 def test_sweeps_of_several_experiments_make_one_plane(tmp_path: Path) -> None:
     paths = [play(tmp_path, (r, 13), 1, {"real": {"x": 1.0 * r + 26}}, name="routers") for r in (10, 20, 40)]
     paths += [play(tmp_path, (10, s), 1, {"real": {"x": 10 + 2.0 * s}}, name="servers") for s in (26, 52)]
