Give the connection to discovery a bound of its own, one second

Cause: Discovery._call had one time-out of 5 s (WATCH_WAIT + ANSWER_MARGIN) for the connection and the answer. A connection that never comes up took it all: after 6 s what discovery has to tell counts as told, so a router that called just before discovery could be reached again had a second left.

Ruled out: a shorter time-out for the whole call, which would give up calls that wait their turn (up to 2 s, after the watch's 3 s); no bound on the first answer is needed, as 5 s and a call at once are within 6 s. One second, because the system sends a lost SYN again only after as long.

Change: a time-out of 1 s for the connection alone. The call's bound stays.

Measured on loopback, a listener that takes no more connections: given up after 1.0 s, before after 5.0. test_a_connection_that_never_comes_up_is_given_up_soon fails without it; test_a_call_that_waits_its_turn_outlasts_the_bound_on_connections holds the other side.

--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -23,6 +23,9 @@
 # after an answer with no news, so that an agent that never waits is not asked in a spin; a call more than
 # 200 ms after the last answer would be a new watch, in turn with all others
 EMPTY_PAUSE = 0.05
+# for the connection, which waits for nobody's turn: one that never comes up would take most of the time after
+# which news counts as told; the system itself sends a lost SYN again only after as long
+DIAL = 1.0
 log = logging.getLogger(__name__)
 
 
@@ -122,7 +125,8 @@
         # guards against a discovery that has gone silent: what it has to tell counts as told soon after
         self.asked = self.address
         async with asyncio.timeout(WATCH_WAIT + ANSWER_MARGIN):
-            reader, writer = await asyncio.open_connection(*address_of(self.asked))
+            async with asyncio.timeout(DIAL):
+                reader, writer = await asyncio.open_connection(*address_of(self.asked))
             try:
                 client = HttpClient(self.asked, MAX_LIST)
                 target = f"/registry/instances?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
