Ask a discovery that counts from a lower version for the whole list

Cause: Discovery._watch took any answer as what became of the list since `after`, and _call sent the version held to whatever discovery it had moved to. A watch waits for something newer than its version: one of a discovery that has not come as far waits in vain, and the answer, empty and with a lower version, was taken for no news. The next watch began from the lower version, so all that differed before it was never told. The same goes for an old list known at the start.

Ruled out: asking for the whole list after every move. It is one more list of hundreds of lines for each router, and the calls after SIGHUP come within a second; tests pin that the watch goes on.

Change: an answer with changes and a version below the one asked after makes the next call one for the whole list. The first call to another address waits 1 ms instead of 3 s, so that this shows within the 4 s after which news counts as told there. What comes as changes then is a failed call.

Before, the tests show a second watch after the lower version; now the whole list comes one call later.

--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -26,6 +27,7 @@
 # for the connection, which waits for nobody's turn: one that never comes up would take most of the time after
 # which news counts as told; the system itself sends a lost SYN again only after as long
 DIAL = 1.0
+PEEK = 0.001  # the wait of the first call to another discovery, which may count its versions anew
 log = logging.getLogger(__name__)
 
 
@@ -90,6 +92,7 @@
         self.told = told
         self.failed = failed
         self.asked = address  # by the watch's latest call
+        self.met = True  # whether the list held is known to be of the discovery at this address
         self.watch: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
@@ -103,13 +106,22 @@
     def move(self, address: str) -> bool:
         """Ask at another address from the next call on; tells whether it is another."""
         moved, self.address = address != self.address, address
+        self.met = self.met and not moved
         return moved
 
     async def _watch(self) -> None:
         try:
             while True:
                 began = time.monotonic()
-                self.index, whole, members = await self._call()
+                wait = WATCH_WAIT if self.met else PEEK
+                news = await self._call(f"?after={self.index}&wait_ms={math.ceil(wait * 1000)}", wait)
+                if news[0] < self.index and not news[1]:
+                    # a discovery that counts anew would tell nothing until it has come as far as the old one
+                    news = await self._call("")
+                    if not news[1]:
+                        raise ListError("answered with changes when asked for the whole list")
+                self.met = self.met or self.asked == self.address
+                self.index, whole, members = news
                 self.told(api.ListKind.FULL if whole else api.ListKind.DELTA, members)
                 if not members:
                     await asyncio.sleep(EMPTY_PAUSE)
@@ -121,16 +133,16 @@
         self.watch = None  # a cancelled one has been replaced, or is not to be
         self.failed()
 
-    async def _call(self) -> tuple[int, bool, list[Member]]:
+    async def _call(self, query: str, wait: float = 0.0) -> tuple[int, bool, list[Member]]:
         # guards against a discovery that has gone silent: what it has to tell counts as told soon after
         self.asked = self.address
-        async with asyncio.timeout(WATCH_WAIT + ANSWER_MARGIN):
+        async with asyncio.timeout(wait + ANSWER_MARGIN):
             async with asyncio.timeout(DIAL):
                 reader, writer = await asyncio.open_connection(*address_of(self.asked))
             try:
                 client = HttpClient(self.asked, MAX_LIST)
-                target = f"/registry/instances?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
-                writer.write(client.request("GET", target, [(b"Connection", b"close")]))
+                request = client.request("GET", "/registry/instances" + query, [(b"Connection", b"close")])
+                writer.write(request)
                 response = None
                 while response is None:
                     response = client.receive(await reader.read(65536))
