Call discovery once a round and in turn after failures, not in growing pauses

Cause: Router._ask_list_later paused for half to all of the turns of all routers, doubled with each failure up to FAILED_ASK times as much: with forty routers or more from 5 to 20 s after 8 s of refused calls. Whatever a call has come to, what discovery has counts as told 6 s after it can be reached, so lists came up to 14 s late. All watches that were reset at once came back within 2.5 s, and over a third of the calls of 230 waited too long. A turn had no bound but must_ask_in, 20 s for a site that gives 40.

Change: each router has its turn in rounds of 5 s at most (siblings, must_ask_in) by the clock that all share, and calls in its own after a start, a broken watch, a refused call or a connection that came to nothing; few routers pause for up to half a round. Where a watch had been silent and its turn comes later than its news counts (drain_grace), the time left is spread over. A call that failed after a wait for its turn pauses for a round, then three, then four; one with no answer for 5 s is made again at once. For pushed lists nothing changes: at most half the grace.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -34,7 +34,10 @@
 FAULTY = 3  # failures in a row that are no chance; from then on one trial every SILENCE
 CALL = 0.125  # seconds for each router's call: forty at once had sixteen answered in the 2 s they may wait
 MOVE = 1.0  # seconds for all to ask a new discovery: old watches last 1.5, news counts as told after 4
-FAILED_ASK = 4  # times as long may pass until the next call after one that failed
+NEWS = 6.0  # seconds after which what discovery has counts as told, brought by a call or not
+ROUND = 5.0  # of them at most until each router has had its turn to call: the call has to be answered as well
+CROWDED = (1.5, 3.0)  # seconds after which a call fails that waited for its turn; others fail sooner or later
+FAILED_ASK = 4  # rounds at most until the next call while discovery has too many callers
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
@@ -51,7 +54,9 @@
         self.servers: dict[str, Server] = {}
         self.named: dict[int, Server] = {}  # as peers name them
         self.ring: Ring[Server] = Ring()
-        self.turn = min(CALL, ASK * settings.must_ask_in / settings.siblings)  # for each router's call
+        self.turn = min(CALL, min(ROUND, ASK * settings.must_ask_in) / settings.siblings)  # for each's call
+        self.turns = settings.siblings * self.turn  # until all have had theirs
+        self.asked_at, self.listed_at = now - CROWDED[0], -math.inf
         self.telling = Telling(settings, self.random, now)
         self.demand = self.telling.demand
         self.shares = Shares(settings, self.demand, now)
@@ -59,7 +64,7 @@
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: list[tuple[float, int, Held]] = []  # for the origin, or any server: worth, then age
-        self.queued = self.taken = self.list_failures = 0
+        self.queued = self.taken = self.list_failures = self.crowded = 0
         self.retries, self.keep = RETRIES_SAVED, KEEP
         self.born = now
         self.end_at = math.inf  # by then all are answered
@@ -121,24 +126,37 @@
                 known.entry = entry
         self._build_ring()
         if event.kind is not api.ListKind.SAVED:
-            self.list_failures = 0
+            self.list_failures, self.crowded, self.listed_at = 0, 0, self.now
         elif self.settings.subscribe:
             # guards against asking in step: a call that waits too long fails, and is still worked through
-            self.out.append(api.SetTimer(self.turn * (self.settings.number + self.random.random()), "list"))
+            self.out.append(api.SetTimer(self._until_turn(), "list"))
         queue, self.queue = sorted(self.queue), []
         for held in (q[2] for q in queue if q[2].waiting):
             held.waiting = False
             self._advance(held)
 
+    def _until_turn(self, least: float = 0.0) -> float:
+        """All have their turns by one clock, so that calls stay apart whatever they were held up by."""
+        return least + (self.settings.number * self.turn - self.now - least) % self.turns
+
     def _ask_list_later(self) -> None:
-        """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
-        self.list_failures += 1
-        least, longest = CALL, self.settings.drain_grace / 2  # what is pushed, an agent of our own holds
-        if self.settings.subscribe:
-            least = self.settings.siblings * self.turn  # until all have had their turn
-            longest = max(ASK * self.settings.must_ask_in, FAILED_ASK * least)
-        pause = min(longest, least * 2.0 ** min(16, self.list_failures - 1))
-        self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
+        """Subscribe again, in turn: discovery may be back, and what it has counts as told soon."""
+        doubled, self.list_failures = 2.0 ** min(16, self.list_failures), self.list_failures + 1
+        conf, waited, quiet = self.settings, self.now - self.asked_at, self.now - self.listed_at
+        if not conf.subscribe:  # what is pushed, an agent of our own holds
+            pause = min(conf.drain_grace / 2, CALL * doubled) * self.random.uniform(0.5, 1.0)
+        elif quiet <= waited or waited < CROWDED[0]:  # a watch broke, or a call came to nothing at no cost
+            rounds = min(doubled, ASK * min(ROUND, conf.must_ask_in) / self.turns)
+            pause = self._until_turn(self.turn / 2) + max(0, int(rounds) - 1) * self.turns
+            left = NEWS - quiet + ASK * conf.drain_grace
+            if quiet <= waited and 0 < left < pause:  # it had been silent, and what it missed counts soon
+                pause = left * (conf.number + self.random.random()) / conf.siblings
+        elif waited < CROWDED[1]:  # guards against an endless queue: calls given up are still worked through
+            self.crowded = min(FAILED_ASK, 3 * self.crowded or 1)
+            pause = self.turns * self.crowded * self.random.uniform(0.5, 1.0)
+        else:
+            pause = self.turn * self.random.random()  # no answer for as long as a silent watch
+        self.out.append(api.SetTimer(pause, "list"))
         self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
 
     def _drop(self, name: str) -> None:
@@ -334,6 +352,7 @@
     def _on_timer(self, event: api.TimerFired) -> None:
         what, _, name = event.token.partition(":")
         if what == "list":
+            self.asked_at = self.now
             self.out.append(api.Subscribe())
         elif what == "idle" and (idle := self.servers.get(name)) is not None:
             idle.look_at = idle.look_at if self.now < idle.look_at - self.settings.tick else math.inf
