--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -12,9 +12,10 @@
 from collections.abc import Iterator
 
 from brackenwalk import interface as api
+from brackenwalk.calls import Calls
 from brackenwalk.demand import HOT
 from brackenwalk.ring import Ring, ring_hash
-from brackenwalk.shares import ASK, CACHE_TARGET, EPSILON, Shares
+from brackenwalk.shares import CACHE_TARGET, EPSILON, Shares
 from brackenwalk.state import Attempt, Held, Server
 from brackenwalk.telling import Telling
 
@@ -32,12 +33,6 @@
 LOST = 8.0  # times the usual latency: an answer that has not come by then is taken for lost
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 FAULTY = 3  # failures in a row that are no chance; from then on one trial every SILENCE
-CALL = 0.125  # seconds for each router's call: forty at once had sixteen answered in the 2 s they may wait
-MOVE = 1.0  # seconds for all to ask a new discovery: old watches last 1.5, news counts as told after 4
-NEWS = 6.0  # seconds after which what discovery has counts as told, brought by a call or not
-ROUND = 5.0  # of them at most until each router has had its turn to call: the call has to be answered as well
-CROWDED = (1.5, 3.0)  # seconds after which a call fails that waited for its turn; others fail sooner or later
-FAILED_ASK = 4  # rounds at most until the next call while discovery has too many callers
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
@@ -54,9 +49,7 @@
         self.servers: dict[str, Server] = {}
         self.named: dict[int, Server] = {}  # as peers name them
         self.ring: Ring[Server] = Ring()
-        self.turn = min(CALL, min(ROUND, ASK * settings.must_ask_in) / settings.siblings)  # for each's call
-        self.turns = settings.siblings * self.turn  # until all have had theirs
-        self.asked_at, self.listed_at = now - CROWDED[0], -math.inf
+        self.calls = Calls(settings, self.random, now)
         self.telling = Telling(settings, self.random, now)
         self.demand = self.telling.demand
         self.shares = Shares(settings, self.demand, now)
@@ -64,7 +57,7 @@
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: list[tuple[float, int, Held]] = []  # for the origin, or any server: worth, then age
-        self.queued = self.taken = self.list_failures = self.crowded = 0
+        self.queued = self.taken = 0
         self.retries, self.keep = RETRIES_SAVED, KEEP
         self.born = now
         self.end_at = math.inf  # by then all are answered
@@ -104,11 +97,11 @@
 
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
-            self._ask_list_later()
+            self.out.append(api.SetTimer(self.calls.failed(self.now), "list"))
+            self.out.append(api.Log(f"list out of reach, {self.calls.failures} in a row"))
             return
         if event.kind is api.ListKind.MOVED:
-            # guards the new discovery: all routers may be told at once, and the old watches last a while
-            self.out.append(api.SetTimer(MOVE * self.random.random(), "list"))
+            self.out.append(api.SetTimer(self.calls.moved(), "list"))
             return
         if event.kind is not api.ListKind.DELTA:
             for i in self.servers.keys() - {e.server for e in event.entries}:
@@ -126,39 +119,15 @@
                 known.entry = entry
         self._build_ring()
         if event.kind is not api.ListKind.SAVED:
-            self.list_failures, self.crowded, self.listed_at = 0, 0, self.now
+            self.calls.listed(self.now)
         elif self.settings.subscribe:
             # guards against asking in step: a call that waits too long fails, and is still worked through
-            self.out.append(api.SetTimer(self._until_turn(), "list"))
+            self.out.append(api.SetTimer(self.calls.until_turn(self.now), "list"))
         queue, self.queue = sorted(self.queue), []
         for held in (q[2] for q in queue if q[2].waiting):
             held.waiting = False
             self._advance(held)
 
-    def _until_turn(self, least: float = 0.0) -> float:
-        """All have their turns by one clock, so that calls stay apart whatever they were held up by."""
-        return least + (self.settings.number * self.turn - self.now - least) % self.turns
-
-    def _ask_list_later(self) -> None:
-        """Subscribe again, in turn: discovery may be back, and what it has counts as told soon."""
-        doubled, self.list_failures = 2.0 ** min(16, self.list_failures), self.list_failures + 1
-        conf, waited, quiet = self.settings, self.now - self.asked_at, self.now - self.listed_at
-        if not conf.subscribe:  # what is pushed, an agent of our own holds
-            pause = min(conf.drain_grace / 2, CALL * doubled) * self.random.uniform(0.5, 1.0)
-        elif quiet <= waited or waited < CROWDED[0]:  # a watch broke, or a call came to nothing at no cost
-            rounds = min(doubled, ASK * min(ROUND, conf.must_ask_in) / self.turns)
-            pause = self._until_turn(self.turn / 2) + max(0, int(rounds) - 1) * self.turns
-            left = NEWS - quiet + ASK * conf.drain_grace
-            if quiet <= waited and 0 < left < pause:  # it had been silent, and what it missed counts soon
-                pause = left * (conf.number + self.random.random()) / conf.siblings
-        elif waited < CROWDED[1]:  # guards against an endless queue: calls given up are still worked through
-            self.crowded = min(FAILED_ASK, 3 * self.crowded or 1)
-            pause = self.turns * self.crowded * self.random.uniform(0.5, 1.0)
-        else:
-            pause = self.turn * self.random.random()  # no answer for as long as a silent watch
-        self.out.append(api.SetTimer(pause, "list"))
-        self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
-
     def _drop(self, name: str) -> None:
         if name in self.servers:
             server = self.servers.pop(name)
@@ -352,7 +321,7 @@
     def _on_timer(self, event: api.TimerFired) -> None:
         what, _, name = event.token.partition(":")
         if what == "list":
-            self.asked_at = self.now
+            self.calls.asked(self.now)
             self.out.append(api.Subscribe())
         elif what == "idle" and (idle := self.servers.get(name)) is not None:
             idle.look_at = idle.look_at if self.now < idle.look_at - self.settings.tick else math.inf
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from brackenwalk import calls, policy, state
 from brackenwalk import interface as api
-from brackenwalk import policy, state
 from brackenwalk.net import discovery
 from brackenwalk.policy import Router
 from brackenwalk.ring import ring_hash
@@ -162,7 +162,7 @@
 def test_subscribes_and_backs_off_after_failures() -> None:
     d = Driver(settings(subscribe=True))
     d.list(*fleet("a"), kind=api.ListKind.SAVED)
-    d.wait(policy.CALL)
+    d.wait(calls.CALL)
     assert d.last == [api.Subscribe()]
     pauses = []
     for _ in range(6):
@@ -188,9 +188,9 @@
         (turn,) = (a for a in d.last if isinstance(a, api.SetTimer))
         turns.append(turn.delay)
     turns.sort()
-    assert turns[-1] < min(policy.CALL * siblings, 5.0)  # half of the 10 s in which each must have asked
+    assert turns[-1] < min(calls.CALL * siblings, 5.0)  # half of the 10 s in which each must have asked
     for start in turns:
-        assert sum(start <= t < start + 2.0 for t in turns) <= max(2.0 / policy.CALL, 0.4 * siblings) + 2
+        assert sum(start <= t < start + 2.0 for t in turns) <= max(2.0 / calls.CALL, 0.4 * siblings) + 2
 
 
 def test_routers_told_together_of_a_new_discovery_do_not_ask_in_step() -> None:
@@ -233,7 +233,7 @@
     """What the agent has counts as told: a pause of half a ramp broke the rule on drains."""
     conf = settings(siblings=siblings, drain_grace=0.5, fall_window=3.0, ramp=23.0)
     pauses = pauses_after_failures(conf, 20)
-    assert pauses[0] <= policy.CALL and max(pauses) <= 0.25
+    assert pauses[0] <= calls.CALL and max(pauses) <= 0.25
 
 
 def test_few_routers_ask_again_before_silence_counts_as_told() -> None:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -13,7 +13,7 @@
 
 from brackenwalk import interface as api
 from brackenwalk import wirehost
-from brackenwalk.policy import CALL
+from brackenwalk.calls import CALL
 from brackenwalk.settings import read_settings
 from brackenwalk.wirehost import Host, WireError
 
