Begin no attempt for a client that has gone, whatever turn the event loop is in

Seen by real connections, the order forced by hand, six tests that fail on the old code: with 32 commands out nothing is read from a client, and after it had closed a miss went on to the origin, a failed attempt to another server, an answer had the next of its commands taken from the router's own buffer, and a dial ended and was written to. With a kept connection the same happened to a client that was read from, when the answer and the client's end came in one turn of the loop.

Now Host._send looks itself before each attempt (one poll without a wait), held back commands are taken after a look, and all clients that are not read from are looked at each 25 ms in one call, which ends their dials.

Ruled out: an end while reading is on (seen in the next turn, tests that existed); settling (dials and queued requests are dropped once the end is known). A second epoll, or a selector of our own with EPOLLRDHUP, was left aside: either tells of an end a turn of the loop after it came, later than a look at the moment of the attempt, and leans on more than the poll that is known to work.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections import deque
 from contextlib import suppress
@@ -20,7 +21,9 @@
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
 PATIENCE = 2.5  # seconds for a first whole command: an error line or a close is owed within 3
-LOOK = 0.1  # seconds between looks for the end of a client that is not read from: asyncio tells of none then
+# seconds between looks for the end of clients that are not read from: asyncio tells of none then, and 0.1 s
+# after it no attempt may begin; a look late by a turn of a busy loop has to be in time as well
+LOOK = 0.025
 BACKLOG = 512
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
 log = logging.getLogger(__name__)
@@ -46,7 +49,6 @@
         self.reading = True
         self.writable = True
         self.ending = False  # no command is taken any more
-        self.looking: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -56,8 +58,7 @@
         self.patience = loop.call_later(PATIENCE, self._end_with, "-ERR no command came in time")
 
     def data_received(self, data: bytes) -> None:
-        if ended(self.transport):  # what came just before the end is for nobody any more
-            self._leave()
+        if self.look():  # what came just before the end is for nobody any more
             return
         if self.ending:  # read on only to see the client's end, and kept nowhere
             return
@@ -101,7 +102,7 @@
             return
         self.patience.cancel()
         slot.request = command.request.decode()
-        if self.host.take(command, answer) is None:
+        if self.host.take(command, answer, self.look) is None:
             slot.request = None
             answer(b"-ERR this request id is in use\r\n")
 
@@ -114,7 +115,7 @@
         if self.ending and not self.slots:
             self.transport.close()
         elif not self.reading:
-            asyncio.get_running_loop().call_soon(self._take_commands)
+            asyncio.get_running_loop().call_soon(self._go_on)
 
     def _end_with(self, error: str) -> None:
         """Answer with an error and close: where the next command begins can't be told any more."""
@@ -132,18 +133,20 @@
         if wanted != self.reading and not self.transport.is_closing():
             self.reading = wanted
             (self.transport.resume_reading if wanted else self.transport.pause_reading)()
-            if not wanted and self.looking is None:
-                self._look()
-
-    def _look(self) -> None:
-        """While nothing is read, see whether the client is still there."""
-        self.looking = None
-        if self.reading or self.transport.is_closing():
-            return
-        if ended(self.transport):
-            self._leave()
-        else:
-            self.looking = asyncio.get_running_loop().call_later(LOOK, self._look)
+            if not wanted:
+                self.listener.watch(self)
+
+    def look(self) -> bool:
+        """Notice the client's end if it has come, whether or not the event loop has got to it."""
+        gone = not self.transport.is_closing() and ended(self.transport)
+        if gone:
+            self.leave()
+        return gone
+
+    def _go_on(self) -> None:
+        """Take commands that were held back, which may have outlasted their client."""
+        if not self.look():
+            self._take_commands()
 
     def pause_writing(self) -> None:
         self.writable = False
@@ -151,16 +154,16 @@
 
     def resume_writing(self) -> None:
         self.writable = True
-        self._take_commands()
+        self._go_on()
 
     def idle(self) -> bool:
         """Whether nothing is owed, begun or unread."""
         return not self.slots and not self.held_back and not readable(self.transport)
 
     def eof_received(self) -> None:
-        self._leave()
+        self.leave()
 
-    def _leave(self) -> None:
+    def leave(self) -> None:
         """The client has ended the connection, which would stay while bytes wait to be written."""
         self.transport.abort()
         self._forsake()
@@ -174,11 +177,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.forget(self)
         self.patience.cancel()
-        if self.looking is not None:
-            self.looking.cancel()
         self._forsake()
 
 
+def all_ended(connections: list[ClientConnection]) -> list[ClientConnection]:
+    """Those that their clients have ended, in one call: looks are many."""
+    poll, known = select.poll(), {}
+    for connection in connections:
+        descriptor = connection.transport.get_extra_info("socket").fileno()
+        known[descriptor] = connection
+        poll.register(descriptor, select.POLLRDHUP)
+    return [known[descriptor] for descriptor, _ in poll.poll(0)]
+
+
 class Listener:
     """Accepts clients, within a budget of descriptors."""
 
@@ -191,6 +202,8 @@
         self.accepting: asyncio.Task[None] | None = None
         self.acceptable = asyncio.Event()  # a client has come, or none will be waited for
         self.stopping = False
+        self.unread: list[ClientConnection] = []  # their ends have to be looked for
+        self.looking: asyncio.TimerHandle | None = None
 
     def start(self, address: tuple[str, int]) -> None:
         """Listen and accept."""
@@ -237,6 +250,22 @@
                 idle.transport.close()
             await self.changed.wait()
 
+    def watch(self, connection: ClientConnection) -> None:
+        """Look for a client's end while it is not read from."""
+        if connection not in self.unread:
+            self.unread.append(connection)
+        if self.looking is None:
+            self.looking = asyncio.get_running_loop().call_later(LOOK, self._look)
+
+    def _look(self) -> None:
+        self.looking = None
+        open_still = (c for c in self.unread if not c.transport.is_closing())
+        self.unread = [c for c in open_still if not c.transport.is_reading()]
+        for connection in all_ended(self.unread):
+            connection.leave()
+        if self.unread:
+            self.looking = asyncio.get_running_loop().call_later(LOOK, self._look)
+
     def forget(self, connection: ClientConnection) -> None:
         """Note that a connection is closed."""
         self.connections.pop(connection, None)
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -52,6 +52,7 @@
     command: Command
     deadline: float
     answer: Callable[[bytes], None]
+    look: Callable[[], object]  # notices a client that has gone
     sent: int = 0  # attempts, whatever became of them
     closed: bool = False  # answered, or its client is gone
     overdue: bool = False
@@ -170,15 +171,20 @@
 
     # Requests
 
-    def take(self, command: Command, answer: Callable[[bytes], None]) -> str | None:
-        """Take a request that is owed one `answer`; None when one with its id is still known."""
+    def take(
+        self, command: Command, answer: Callable[[bytes], None], look: Callable[[], object] = lambda: None
+    ) -> str | None:
+        """Take a request that is owed one `answer`; None when one with its id is still known.
+
+        Before each attempt `look` tells by `client_gone` of a client's end that has just come.
+        """
         name = command.request.decode()
         # guards the table: two requests under one id would get each other's answers
         if name in self.requests:
             return None
         now = self.clock.now()
         time_left = max(0.0, min(command.deadline_ms / 1000 - DEADLINE_MARGIN, self.end - now))
-        taken = self.requests[name] = Taken(command, now + time_left, answer)
+        taken = self.requests[name] = Taken(command, now + time_left, answer, look)
         taken.timer = asyncio.get_running_loop().call_later(time_left, self._overdue, name)
         hint = command.info.get("h", "")
         request = api.Request(
@@ -251,6 +257,8 @@
         attempt = Attempt(taken.sent, now)
         taken.sent += 1
         taken.attempts[attempt.number] = attempt
+        if not taken.closed:  # guards against work for nobody: events of one turn come in any order
+            taken.look()
         over = taken.closed or taken.overdue or attempt.number >= self.settings.max_attempts
         if over or action.server not in self.members:
             self._finish(taken, attempt, api.Status.MOOT if over else api.Status.CONNECT_FAILED)
