Send small answers to clients at once (TCP_NODELAY)

Cause: the listener's socket is made as AF_INET, SOCK_STREAM with no protocol number, accepted sockets take that number over, and asyncio sets TCP_NODELAY only where it is IPPROTO_TCP. Measured: 0 on a client's connection, 1 on one to a cache server. So the system may hold a small answer back behind another, and a close over unread bytes takes it along.

Line at fault: Listener._accept. Ruled out: dialled connections, whose address is resolved with the protocol's number. Test: test_small_answers_are_not_held_back, which fails without the change.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -233,6 +233,9 @@
                 continue
             try:
                 client.setblocking(False)
+                # asyncio sets it only on sockets made with the protocol's number, unlike this listener's:
+                # a small answer waited for the client's word on the one before
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 connection = ClientConnection(self.host, self)
                 await loop.connect_accepted_socket(lambda c=connection: c, client)  # type: ignore[misc]
             except OSError as e:
--- a/tests/test_terms_clients.py
+++ b/tests/test_terms_clients.py
@@ -15,7 +15,7 @@
 
 from brackenwalk.net import clients
 from brackenwalk.net.clients import MAX_PIPELINED
-from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, book, http, read, run
+from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, book, command, http, read, run
 
 LONG = "c=read,t=x,d=60000"
 NEVER = 3600.0
@@ -214,3 +214,21 @@
             assert written == [None, None] and unused(router)
 
     run(scenario)
+
+
+# How connections are closed
+
+
+def test_small_answers_are_not_held_back() -> None:
+    """What the system holds back is lost with a connection that is closed over unread bytes."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            client.write(command("PING"))
+            assert await client.resp() == b"PONG"
+            (connection,) = router.listener.connections
+            ours = connection.transport.get_extra_info("socket")
+            assert ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(scenario)
