Let half commands make room, and of the idle the one that is longest at rest

Seen with the real program and 256 descriptors: 150 to 400 clients that send PING and half a command and rest kept every later client out, none of 80 was answered in 6 s. In process: of eight, the first to come was closed though it had just been used.

Lines at fault: Listener._make_room takes idle connections alone, in the order they came; half a command is not idle, and once a client has shown itself nothing ended it.

Where room is short and none is idle, a connection on which half a command has had no byte for 2 s gets an error line and ends; the idle are kept in the order in which they fell idle. A connection that is closing already is passed over, as shutting it again would make no room.

Ruled out with the same program, 256 descriptors and 400 clients that rest after PING or send nothing: 20 later clients, one after another, were served and discovery was called at its return, before this change as after it, and no accept failed.

Tests: test_a_crowd_that_rests_takes_no_descriptor_that_others_need (half commands) and test_the_connection_longest_at_rest_makes_room fail without the change; clients that rest and that send nothing pass on the old code and stay as guards.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -28,8 +28,11 @@
 LINGER_UNSENT = 10.0  # the same while it has not taken all that it was answered
 LINGER_READ = 1 << 20  # bytes that are read and dropped meanwhile
 SPARE = 8  # of so many descriptors for clients one is for those that linger
+STALLED = 2.0  # seconds without a byte after which half a command does not hold a descriptor any more
+ROOM_LOOK = 0.25  # seconds between looks for a connection that may go: nothing tells that one has stalled
 BACKLOG = 512
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
+NOT_IN_TIME = "-ERR no command came in time"
 log = logging.getLogger(__name__)
 
 
@@ -49,6 +52,7 @@
         self.listener = listener
         self.reader = Reader(parts=b":-$")  # a simple string as a part would pass for a bulk string
         self.held_back = 0  # bytes since the last whole command
+        self.heard_at = 0.0  # when the last bytes came
         self.slots: deque[Slot] = deque()
         self.reading = True
         self.writable = True
@@ -61,7 +65,7 @@
         self.transport = transport
         self.listener.connections[self] = None
         loop = asyncio.get_running_loop()
-        self.patience = loop.call_later(PATIENCE, self._end_with, "-ERR no command came in time")
+        self.patience = loop.call_later(PATIENCE, self.end_with, NOT_IN_TIME)
 
     def data_received(self, data: bytes) -> None:
         if self in self.listener.lingering:  # too late to be taken: the client sees our end before any answer
@@ -74,6 +78,7 @@
         if self.ending:  # read on only to see the client's end, and kept nowhere
             return
         self.held_back += len(data)
+        self.heard_at = asyncio.get_running_loop().time()
         try:
             self.reader.feed(data)
             self._take_commands()
@@ -88,11 +93,11 @@
             try:
                 parts = self.reader.gets()
             except (hiredis.ProtocolError, MemoryError) as e:
-                self._end_with(f"-ERR {e}")
+                self.end_with(f"-ERR {e}")
                 return
             if parts is NOT_YET:
                 if self.held_back > MAX_COMMAND:
-                    self._end_with("-ERR command is too long")
+                    self.end_with("-ERR command is too long")
                 break
             self.held_back = self.reader.held()
             self._take(parts)
@@ -122,13 +127,13 @@
         while self.slots and self.slots[0].answer is not None:
             self.transport.write(self.slots.popleft().answer or b"")
         if not self.slots:
-            self.listener.changed.set()
+            self.listener.rest(self)
         if self.ending and not self.slots:
             self.shut()
         elif not self.reading:
             asyncio.get_running_loop().call_soon(self._go_on)
 
-    def _end_with(self, error: str) -> None:
+    def end_with(self, error: str) -> None:
         """Answer with an error and close: where the next command begins can't be told any more."""
         self.ending = True
         slot = Slot()
@@ -171,7 +176,16 @@
 
     def idle(self) -> bool:
         """Whether nothing is owed, begun or unread."""
-        return not self.slots and not self.held_back and not readable(self.transport)
+        if self.slots or self.held_back or self.transport.is_closing():
+            return False
+        return not readable(self.transport)
+
+    def stalled(self) -> bool:
+        """Whether all that holds it is half a command that does not go on."""
+        if self.slots or not self.held_back or self.unsent() or self.transport.is_closing():
+            return False
+        silence = asyncio.get_running_loop().time() - self.heard_at
+        return silence > STALLED and not readable(self.transport)
 
     def unsent(self) -> bool:
         """Whether the client has not taken all its answers."""
@@ -249,8 +263,7 @@
     def __init__(self, host: Host, budget: int) -> None:
         self.host = host
         self.budget = budget
-        self.open_budget = budget - budget // SPARE
-        self.connections: dict[ClientConnection, None] = {}  # in the order they came
+        self.connections: dict[ClientConnection, None] = {}  # those longest at rest come first
         self.lingering: dict[ClientConnection, None] = {}  # ended by the router, not yet by their clients
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -301,15 +314,35 @@
 
     async def _make_room(self, newest: ClientConnection) -> None:
         """Guards the descriptors: the newest client costs an idle one, or waits until there is one."""
-        while len(self.connections) > self.open_budget and not self.stopping:
+        while len(self.connections) > self._most_open() and not self.stopping:
             self.changed.clear()
-            idle = next((c for c in self.connections if c is not newest and c.idle()), None)
-            if idle is not None:
-                idle.shut()
-            else:
-                await self.changed.wait()
+            if not self._shut_one(newest):
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(ROOM_LOOK):
+                        await self.changed.wait()
         self._cut_lingering()
 
+    def _most_open(self) -> int:
+        return self.budget - self.budget // SPARE
+
+    def _shut_one(self, newest: ClientConnection | None = None) -> bool:
+        """End the connection that is longest at rest, or one that half a command has held for long."""
+        idle = next((c for c in self.connections if c is not newest and not c.unsent() and c.idle()), None)
+        if idle is not None:
+            idle.shut()
+            return True
+        stalled = next((c for c in self.connections if c is not newest and c.stalled()), None)
+        if stalled is not None:
+            stalled.end_with(NOT_IN_TIME)
+        return stalled is not None
+
+    def rest(self, connection: ClientConnection) -> None:
+        """Note that nothing is owed on a connection any more."""
+        if connection in self.connections:
+            del self.connections[connection]
+            self.connections[connection] = None
+        self.changed.set()
+
     def linger(self, connection: ClientConnection) -> None:
         """Note that the router has ended a connection, which costs its descriptor a little longer."""
         self.connections.pop(connection, None)
@@ -318,11 +351,10 @@
         self._cut_lingering()
 
     def _cut_lingering(self) -> None:
-        """Guards the descriptors: those that linger are the first to go, but for answers not taken yet."""
+        """Guards the descriptors: those that linger go first, and of them those that owe nothing."""
         over = len(self.connections) + len(self.lingering) - self.budget
         if over > 0:
-            sent = [c for c in self.lingering if not c.unsent()]
-            for connection in sent[:over]:
+            for connection in sorted(self.lingering, key=ClientConnection.unsent)[:over]:
                 connection.cut()
 
     def watch(self, connection: ClientConnection) -> None:
--- a/tests/test_terms_clients.py
+++ b/tests/test_terms_clients.py
@@ -7,15 +7,27 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import resource
+import signal
 import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
+from pathlib import Path
 from typing import Any, Self
 
+import orjson
 import pytest
 
 from brackenwalk.net import clients
 from brackenwalk.net.clients import MAX_PIPELINED, ClientConnection
-from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, book, command, http, read, run
+from brackenwalk.net.pool import address_of
+from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, book, command, http, read, run, spelled
+from tests.test_main import GOOD, listening
+from tests.test_net_discovery import LINE
+from tests.test_wirehost import CONF
 
 LONG = "c=read,t=x,d=60000"
 NEVER = 3600.0
@@ -407,3 +419,160 @@
                 peer.socket.close()
 
     run(scenario)
+
+
+# Idle clients that fill the descriptors
+
+
+SOCKETS = 256  # the least that a router gets
+
+
+@asynccontextmanager
+async def program(
+    tmp_path: Path, caches: list[Peer], discovery: str, limit: int
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, tuple[str, int]]]:
+    """The real program in a process that may hold so many descriptors, and where it listens."""
+    lines = [
+        {**LINE, "name": f"s-{i}", "address": c.address, "type": "std", "since_ms": 0}
+        for i, c in enumerate(caches)
+    ]
+    config = {**GOOD, "listen": "127.0.0.1:0", "discovery": discovery}
+    config["known"] = {"index": 1, "snapshot": True, "endpoints": lines}
+    config["limits"] = {**GOOD["limits"], "sockets": SOCKETS}
+    classes = [{**c, "giveUp": 1.0} for c in CONF["classes"]]
+    config["settings"] = {**CONF, "membershipMode": "automatic", "classes": classes}
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(config))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "brackenwalk",
+        env={**os.environ, "RELAY_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (limit, limit))
+        address = await listening(process.stderr)
+        yield process, address
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def serve(peer: Peer) -> None:
+    """Answer every read on every connection."""
+
+    async def answer(link: Link) -> None:
+        with suppress(AssertionError, ConnectionError):  # until the program ends the connection
+            while True:
+                await link.resp()
+                link.write(HIT)
+
+    tasks = []
+    while True:
+        tasks.append(asyncio.create_task(answer(await peer.link())))
+
+
+def crowd(address: tuple[str, int], count: int, sent: bytes) -> list[socket.socket]:
+    """Clients that connect, send no more than this, and rest."""
+    idle = []
+    for _ in range(count):
+        idle.append(socket.create_connection(address))
+        idle[-1].send(sent)
+    return idle
+
+
+async def warnings(process: asyncio.subprocess.Process, found: list[bytes]) -> None:
+    """Keep what the log says of accepting that failed."""
+    assert process.stderr is not None
+    while line := await process.stderr.readline():
+        if b"accept: " in line:
+            found.append(line)
+
+
+PING = command("PING")
+
+
+@pytest.mark.parametrize(
+    ("sent", "count", "limit"),
+    [
+        (PING, 400, SOCKETS),
+        (b"", 400, SOCKETS),
+        (PING + b"*4\r\n$5\r\nC.G", 150, SOCKETS),  # each may take 2 s to go on
+    ],
+)
+def test_a_crowd_that_rests_takes_no_descriptor_that_others_need(
+    sent: bytes, count: int, limit: int, tmp_path: Path
+) -> None:
+    """While discovery is down: clients are served, servers dialled, and discovery is called at its return.
+
+    Half commands held their descriptors for good.
+    """
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as unused_port:
+            down = spelled(unused_port.getsockname())
+        async with Peer() as a, Peer() as b:
+            servers = [asyncio.create_task(serve(p)) for p in (a, b)]
+            async with program(tmp_path, [a, b], down, limit) as (process, address):
+                failed: list[bytes] = []
+                log, since = asyncio.create_task(warnings(process, failed)), loop.time()
+                idle = crowd(address, count, sent)
+                for i in range(20):
+                    client = Link(*await asyncio.open_connection(*address))
+                    client.write(read(f"r{i}", f"k{i}", "c=read,d=6000"))
+                    assert await client.resp() == b"value"
+                back = Peer()
+                back.server = await asyncio.start_server(back._accept, *address_of(down))
+                assert "after=1&" in (await (await back.link()).http())[0]
+                process.send_signal(signal.SIGTERM)
+                assert await process.wait() == 0
+                await log
+                if limit == SOCKETS:
+                    assert not failed
+                assert len(failed) <= 1 + (loop.time() - since) / clients.ACCEPT_PAUSE  # no spin
+                back.server.close()
+                for each in idle:
+                    each.close()
+            for task in servers:
+                task.cancel()
+
+    run(scenario)
+
+
+def test_the_connection_longest_at_rest_makes_room() -> None:
+    """The first to come was closed though it had just been used, and its next request crossed the close."""
+
+    async def scenario() -> None:
+        async with Router(clients=8) as router:
+            first, second, *others = [await Raw(router).shown() for _ in range(7)]
+            await first.shown()
+            newest = await Raw(router).shown()
+            assert await second.heard() == b""
+            for each in (first, *others, newest):
+                await each.shown()
+            for each in (first, second, *others, newest):
+                each.socket.close()
+
+    run(scenario)
+
+
+def test_a_connection_that_is_closing_already_makes_no_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closed again and again in one turn of the loop, it would never come to its end."""
+
+    async def scenario() -> None:
+        async with Router(clients=8) as router:
+            skip = Skip(monkeypatch)
+            rests, half = await Raw(router).shown(), await Raw(router).shown()
+            half.send(b"*4\r\n")
+            await turns()
+            await skip.ahead(clients.STALLED + 0.1)
+            for connection in router.listener.connections:
+                connection.transport.abort()
+            assert not router.listener._shut_one()
+            rests.socket.close()
+            half.socket.close()
+
+    run(scenario)
