Make room when accepting finds no descriptor, and when it ends

Seen with the real program held to 96 descriptors where 256 were told, 400 clients at rest and discovery down: none of 80 later clients was answered in 6 s, and with half commands discovery was not called within 8 s of its return. At SIGTERM with clients still in the system's queue all were accepted whatever the budget, to `Too many open files` every 0.1 s, and no idle connection was closed before the bound (3.7 s): the loop that accepts was waited for first.

Lines at fault: Listener._accept, which only pauses on EMFILE; Listener._make_room, which does nothing once stopping. On EMFILE the budget for clients now shrinks by 16, to two thirds at the least, and idle ones go until it holds; clients that come at the end cost an idle one as before.

Ruled out: a spin (the pause of 0.1 s holds, counted by the test); the budgets as such: with the table as large as told no accept failed, with servers and discovery called.

Tests: test_a_crowd_that_rests_takes_no_descriptor_that_others_need (96 descriptors) and test_what_has_connected_when_accepting_ends_takes_no_more_than_the_budget fail without the change.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import select
 import socket
@@ -32,6 +33,7 @@
 ROOM_LOOK = 0.25  # seconds between looks for a connection that may go: nothing tells that one has stalled
 BACKLOG = 512
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
+SHED = 16  # descriptors given up at each sign that there are fewer than was told
 NOT_IN_TIME = "-ERR no command came in time"
 log = logging.getLogger(__name__)
 
@@ -263,6 +265,7 @@
     def __init__(self, host: Host, budget: int) -> None:
         self.host = host
         self.budget = budget
+        self.least_budget = budget * 2 // 3
         self.connections: dict[ClientConnection, None] = {}  # those longest at rest come first
         self.lingering: dict[ClientConnection, None] = {}  # ended by the router, not yet by their clients
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
@@ -297,6 +300,8 @@
                 continue
             except OSError as e:
                 log.warning("accept: %s", e)
+                if e.errno in (errno.EMFILE, errno.ENFILE):
+                    self._shed()
                 await asyncio.sleep(ACCEPT_PAUSE)
                 continue
             try:
@@ -314,9 +319,11 @@
 
     async def _make_room(self, newest: ClientConnection) -> None:
         """Guards the descriptors: the newest client costs an idle one, or waits until there is one."""
-        while len(self.connections) > self._most_open() and not self.stopping:
+        while len(self.connections) > self._most_open():
             self.changed.clear()
             if not self._shut_one(newest):
+                if self.stopping:
+                    break
                 with suppress(TimeoutError):
                     async with asyncio.timeout(ROOM_LOOK):
                         await self.changed.wait()
@@ -336,6 +343,13 @@
             stalled.end_with(NOT_IN_TIME)
         return stalled is not None
 
+    def _shed(self) -> None:
+        """Fewer descriptors than was told: leave some to the calls to discovery and to servers."""
+        self.budget = max(self.least_budget, self.budget - SHED)
+        self._cut_lingering()
+        while len(self.connections) > self._most_open() and self._shut_one():
+            pass
+
     def rest(self, connection: ClientConnection) -> None:
         """Note that nothing is owed on a connection any more."""
         if connection in self.connections:
--- a/tests/test_terms_clients.py
+++ b/tests/test_terms_clients.py
@@ -500,6 +500,8 @@
         (PING, 400, SOCKETS),
         (b"", 400, SOCKETS),
         (PING + b"*4\r\n$5\r\nC.G", 150, SOCKETS),  # each may take 2 s to go on
+        (PING, 400, 96),  # fewer than was told
+        (b"", 400, 96),
     ],
 )
 def test_a_crowd_that_rests_takes_no_descriptor_that_others_need(
@@ -507,7 +509,7 @@
 ) -> None:
     """While discovery is down: clients are served, servers dialled, and discovery is called at its return.
 
-    Half commands held their descriptors for good.
+    Half commands held their descriptors for good, and with the table full nothing was ever closed.
     """
 
     async def scenario() -> None:
@@ -542,6 +544,38 @@
     run(scenario)
 
 
+def test_what_has_connected_when_accepting_ends_takes_no_more_than_the_budget(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All were accepted at once then, past the limit, and what rested was not closed before the very end."""
+
+    async def scenario() -> None:
+        async with Router(clients=8) as router:
+            listener, most = router.listener, 0
+            made = ClientConnection.connection_made
+
+            def counted(connection: ClientConnection, transport: asyncio.BaseTransport) -> None:
+                nonlocal most
+                made(connection, transport)
+                most = max(most, len(listener.connections) + len(listener.lingering))
+
+            monkeypatch.setattr(ClientConnection, "connection_made", counted)
+            idle = [await Raw(router).shown() for _ in range(7)]
+            late = [Raw(router) for _ in range(30)]  # the loop has not run since: none is accepted yet
+            for each in late:
+                each.send(PING)
+            await listener.stop(0.0, 5.0)
+            for each in late:
+                assert await each.heard() == b"+PONG\r\n"
+            for each in idle:
+                assert await each.heard() == b""
+            assert most <= 8 + 1  # with the newest
+            for each in (*late, *idle):
+                each.socket.close()
+
+    run(scenario)
+
+
 def test_the_connection_longest_at_rest_makes_room() -> None:
     """The first to come was closed though it had just been used, and its next request crossed the close."""
 
