Hold discovery's port from the start in the test of a crowd

The socket is bound throughout now, and refuses calls until it listens. The test is as strict as before.

--- a/tests/test_terms_clients.py
+++ b/tests/test_terms_clients.py
@@ -23,7 +23,6 @@
 
 from brackenwalk.net import clients
 from brackenwalk.net.clients import MAX_PIPELINED, ClientConnection
-from brackenwalk.net.pool import address_of
 from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, book, command, http, read, run, spelled
 from tests.test_main import GOOD, listening
 from tests.test_net_discovery import LINE
@@ -514,8 +513,9 @@
 
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        with socket.create_server(("127.0.0.1", 0)) as unused_port:
-            down = spelled(unused_port.getsockname())
+        discovery = socket.socket()  # bound all the time, so that no client gets its port; refuses calls
+        discovery.bind(("127.0.0.1", 0))
+        down = spelled(discovery.getsockname())
         async with Peer() as a, Peer() as b:
             servers = [asyncio.create_task(serve(p)) for p in (a, b)]
             async with program(tmp_path, [a, b], down, limit) as (process, address):
@@ -527,7 +527,7 @@
                     client.write(read(f"r{i}", f"k{i}", "c=read,d=6000"))
                     assert await client.resp() == b"value"
                 back = Peer()
-                back.server = await asyncio.start_server(back._accept, *address_of(down))
+                back.server = await asyncio.start_server(back._accept, sock=discovery)
                 assert "after=1&" in (await (await back.link()).http())[0]
                 process.send_signal(signal.SIGTERM)
                 assert await process.wait() == 0
