Bound what all routers hear of peers in bytes, and tell what ails without the keys

A router that found a server ailing told thirty keys beside its name, whether or not it was among the tellers (`Router._on_request`: `wanted = bool(self.ailing) or ...`), and told it again though a peer just had.

Measured and discarded: that all routers tell of a lost zone at once, thousands of messages a second.

What ails is told by whom it is news, alone where keys are not to be told. Messages carry the time they were sent: garbled ones, those later than two shortest aims and those of unknown senders change nothing and are counted; the end's log tells how many. Routers of the version before do not read them while both are in service, nor these theirs.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -155,6 +155,13 @@
     await listener.stop(STILL_COMING, longest + CLOSED - STILL_COMING)
     discovery.close()
     if peers is not None:
+        demand = host.router.demand
+        logging.info(
+            "datagrams taken for none: %d unknown, %d garbled, %d late",
+            peers.unknown,
+            demand.garbled,
+            demand.stale,
+        )
         peers.close()
     servers.close()
     origin.close()
--- a/brackenwalk/demand.py
+++ b/brackenwalk/demand.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import struct
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -15,7 +16,9 @@
 RECENT = 0.125  # of the memory that tells what turned hot just now
 MEMORY = 128.0  # requests remembered for each server: a key that just counts as hot is seen thirty times
 CHECK = 4  # bytes of a digest, which a garbled message does not match
-HEAD = struct.Struct(">HB")  # requests in all, and how many lines there are
+HEAD = struct.Struct(">HHB")  # when it was sent, requests in all, and how many lines there are
+STAMP = 0.01  # seconds, the unit of the time sent, which begins anew after eleven minutes
+ROUND = 1 << 16
 NAME = struct.Struct(">I")  # of a server that ails, behind the lines
 NAMES = 24
 LINE = struct.Struct(">IB")  # a key and how often it was asked for
@@ -31,6 +34,19 @@
     return hashlib.blake2b(body, digest_size=CHECK).digest() + body
 
 
+def stamp_of(now: float) -> int:
+    """The time that a message tells."""
+    return int(now / STAMP) % ROUND
+
+
+def written(total: int, keys: list[tuple[int, int]], ailing: list[int], now: float) -> bytes:
+    """A message: how many requests there were, keys and how often they were asked for, servers that ail."""
+    lines = [LINE.pack(key, min(MOST, times)) for key, times in keys]
+    names = [NAME.pack(name) for name in ailing[:NAMES]]
+    head = HEAD.pack(stamp_of(now), total, len(lines))
+    return sealed(b"".join((head, *lines, *names))) if lines or names else b""
+
+
 class Counts:
     """How often each key was asked for, as far back as a number of requests."""
 
@@ -53,7 +69,9 @@
 class Demand:
     """How often each key was asked for lately."""
 
-    def __init__(self, told: float = 1.0) -> None:
+    def __init__(self, told: float = 1.0, fresh: float = math.inf) -> None:
+        self.fresh = fresh  # seconds after which a message that was late on its way is news no more
+        self.garbled = self.stale = 0  # messages that changed nothing
         # as far back in time whatever part peers tell
         self.long, self.short = Counts(MEMORY * told), Counts(MEMORY * RECENT * told)
         self.untold: Counter[int] = Counter()  # own requests since the last message
@@ -70,31 +88,43 @@
         """The most that a key may be of all requests: the short memory knows what turned hot just now."""
         return max(self.long.share(key), self.short.share(key))
 
-    def message(self, ailing: list[int], told: bool = True) -> bytes:
+    def size(self, names: int) -> int:
+        """Bytes that a message of all that is untold would have."""
+        lines = min(LINES, len(self.untold) + len(self.later))
+        return CHECK + HEAD.size + lines * LINE.size + min(NAMES, names) * NAME.size
+
+    def message(self, ailing: list[int], told: bool = True, now: float = 0.0) -> bytes:
         """What peers have not been told yet, the keys asked for most before others; empty if nothing.
 
         A key met twice that finds no place is for a later message. Of requests not `told` nothing is kept.
         """
         untold, self.untold = self.untold, Counter()
         if not told:
-            return b""
+            return written(0, [], ailing, now)
         total = min(0xFFFF, untold.total())
         untold.update(self.later)
         order = untold.most_common(LATER)
         self.later = Counter({key: times for key, times in order[LINES:] if times > 1})
-        lines = [LINE.pack(key, min(MOST, times)) for key, times in order[:LINES]]
-        names = [NAME.pack(name) for name in ailing[:NAMES]]
-        head = HEAD.pack(total, len(lines))
-        return sealed(b"".join((head, *lines, *names))) if lines or names else b""
+        return written(total, order[:LINES], ailing, now)
+
+    def hear(self, message: bytes, now: float = 0.0) -> set[int]:
+        """Count what a peer tells, and name the servers it finds ailing.
 
-    def hear(self, message: bytes) -> set[int]:
-        """Count what a peer tells, and name the servers it finds ailing; a garbled one changes nothing."""
+        A message that is garbled or came too late changes nothing and is counted.
+        """
         body = message[CHECK:]
         if len(body) < HEAD.size or sealed(body) != message:
+            self.garbled += 1
             return set()
-        total, count = HEAD.unpack_from(body)
+        stamp, total, count = HEAD.unpack_from(body)
         end = HEAD.size + count * LINE.size
         if len(body) < end or (len(body) - end) % NAME.size:
+            self.garbled += 1
+            return set()
+        # all machines read one clock; what seems to come from just ahead of it is as new as can be
+        age = (stamp_of(now) - stamp + ROUND // 2) % ROUND - ROUND // 2
+        if abs(age) * STAMP > self.fresh:
+            self.stale += 1
             return set()
         lines = list(LINE.iter_unpack(body[HEAD.size : end]))
         for counts in (self.long, self.short):
--- a/brackenwalk/net/peers.py
+++ b/brackenwalk/net/peers.py
@@ -25,6 +25,7 @@
         self.everyone = address_of(everyone)
         self.heard = heard
         self.transport: asyncio.DatagramTransport | None = None
+        self.unknown = 0  # datagrams of no peer's address, or of a size that none sends
 
     async def start(self) -> None:
         """Open the socket; without it the router serves all the same."""
@@ -46,6 +47,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         if addr[:2] in self.peers and len(data) <= MAX_DATAGRAM:
             self.heard(data)
+        else:
+            self.unknown += 1
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is gone may say so; datagrams get lost anyway."""
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -76,9 +76,10 @@
         elif isinstance(event, api.ServerList):
             self._on_list(event)
         elif isinstance(event, api.PeerMessage):
-            for name in self.demand.hear(event.content):
+            for name in self.telling.hear(event.content, now):
                 if name in self.named:
                     self.shares.ease(self.named[name])
+                    self.telling.drop(self.named[name])
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
         elif isinstance(event, api.Streaming) and event.request in self.held:
@@ -235,8 +236,8 @@
             zone.unheard += 1
 
     def _found_ailing(self, server: Server) -> None:
-        self.telling.found(server)
-        self.shares.ease(server)
+        if self.shares.ease(server):
+            self.telling.found(server)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
@@ -254,7 +255,7 @@
             self.demand.add(held.position >> 32)
         if self.caches and self.telling.due(self.now):
             self.shares.plan(self._clockwise)
-            if message := self.telling.message():
+            if message := self.telling.message(self.now):
                 self.out.append(api.Tell(message))
         self.retries = min(RETRIES_SAVED, self.retries + RETRY_SHARE)
         self._advance(held)
--- a/brackenwalk/shares.py
+++ b/brackenwalk/shares.py
@@ -36,10 +36,15 @@
         self.caches = caches
         self.zones = {s.entry.zone: self.zones.get(s.entry.zone, Zone()) for s in caches}
 
-    def ease(self, server: Server) -> None:
-        """Cut what all routers send to an ailing server: each alone has too little out there to ease it."""
-        if server.cache and self.now - server.eased_at > CACHE_TARGET * self.shortest_aim:
-            server.eased, server.eased_at = EASE * self.eased(server), self.now
+    def ease(self, server: Server) -> bool:
+        """Cut what all routers send to an ailing server: each alone has too little out there to ease it.
+
+        Answers with whether it is cut now, and not just before.
+        """
+        if not server.cache or self.now - server.eased_at <= CACHE_TARGET * self.shortest_aim:
+            return False
+        server.eased, server.eased_at = EASE * self.eased(server), self.now
+        return True
 
     def eased(self, server: Server) -> float:
         """What is left of a server's points, or has come back to it."""
--- a/brackenwalk/telling.py
+++ b/brackenwalk/telling.py
@@ -1,4 +1,7 @@
-"""What a router tells its peers: which keys it was asked for, and which servers it finds ailing."""
+"""What a router tells its peers: which keys it was asked for, and which servers it finds ailing.
+
+Each message is heard by all, so what all of them tell has a bound of its own, whatever the size of the fleet.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +13,11 @@
 
 TELL = 0.25  # shortest aims between two messages to the peers: a hot key is known well within one
 TELLERS = 40  # routers whose requests tell what is hot; of more each tells a part, as each is heard by all
+# bytes a second that each router hears of keys: of the 12 KB it has for control (docs/CAPACITY.md), less what
+# lists and ailing servers need
+HEARD = 10_000
+DATAGRAM = 28  # bytes of the IP and UDP headers round a message
+FRESH = 2.0  # shortest aims after which a message tells of what is over
 
 
 class Telling:
@@ -18,31 +26,36 @@
     def __init__(self, settings: api.Settings, chance: random.Random, now: float) -> None:
         self.settings, self.random = settings, chance
         self.told = min(1.0, TELLERS / settings.siblings)  # part of own requests that peers are told of
-        self.demand = Demand(self.told)
+        self.pause = TELL * settings.shortest_aim
+        self.demand = Demand(self.told, FRESH * settings.shortest_aim)
         self.ailing: dict[Server, None] = {}  # and peers not told yet
         self.tell_at = now
 
     def found(self, server: Server) -> None:
-        """A server ails, as far as this router can see."""
+        """A server ails, and no peer has told of it just now."""
         self.ailing[server] = None
 
+    def hear(self, content: bytes, now: float) -> set[int]:
+        """Take a peer's message; answers with the names of the servers that it finds ailing."""
+        return self.demand.hear(content, now)
+
     def drop(self, server: Server) -> None:
-        """A server has left the list."""
+        """A server has left the list, or a peer has told of it."""
         self.ailing.pop(server, None)
 
     def due(self, now: float) -> bool:
-        """Whether it is time for a message; the next is due a while later."""
+        """Whether it is time for a message on keys; the next is due a while later."""
         if now < self.tell_at:
             return False
-        # none in step
-        self.tell_at = now + TELL * self.settings.shortest_aim * self.random.uniform(0.5, 1.5)
+        self.tell_at = now + self.pause * self.random.uniform(0.5, 1.5)  # none in step
         return True
 
-    def message(self) -> bytes:
-        """A message of at most 256 bytes, empty for none; what finds no place is for the next one."""
-        # guards against a price that grows with the square of the routers
-        wanted = bool(self.ailing) or self.random.random() < self.told
-        message = self.demand.message([s.name for s in self.ailing], self.settings.peers and wanted)
-        for server in list(self.ailing)[:NAMES]:
+    def message(self, now: float) -> bytes:
+        """A message of at most 256 bytes, empty for none: what ails, and of keys what all may hear."""
+        size = DATAGRAM + self.demand.size(len(self.ailing))
+        part = min(self.told, HEARD * self.pause / (self.settings.siblings * size))
+        wanted = self.settings.peers and self.random.random() < part
+        told = list(self.ailing)[: NAMES if self.settings.peers else 0]  # the rest is for the next one
+        for server in told:
             del self.ailing[server]
-        return message
+        return self.demand.message([s.name for s in told], wanted, now)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -43,6 +43,7 @@
         self.timers: list[tuple[float, str]] = []
         self.listed: dict[str, api.ServerEntry] = {}
         self.last: list[api.Action] = []
+        self.told: list[bytes] = []  # messages to the peers
 
     def feed(self, event: api.Event) -> list[api.Action]:
         self.last = self.router.handle(self.now, event)
@@ -56,6 +57,9 @@
         if isinstance(action, api.SetTimer):
             assert 0 <= action.delay < 4260 and 1 <= len(action.token) <= 64
             self.timers.append((self.now + action.delay, action.token))
+        elif isinstance(action, api.Tell):
+            assert 0 < len(action.content) <= 256
+            self.told.append(action.content)
         elif isinstance(action, api.Cancel):
             assert (action.request, action.attempt) in self.state, "cancels an attempt never made"
         elif isinstance(action, api.Send):
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -62,6 +62,8 @@
         sealed(b"\0"),
         sealed(b"\0\1\2" + b"\0" * 9),
         sealed(b"\0\1\0" + b"\0" * 3),
+        sealed(b"\0\0\0\1\2" + b"\0" * 9),  # a line short
+        sealed(b"\0\0\0\1\0" + b"\0" * 3),  # part of a name
         b"\xff" * 256,
     ],
 )
@@ -137,6 +139,7 @@
     hears.list(*(entry(f"s{i}") for i in range(60)))
     for n in range(5):
         d.now += 1.0
+        hears.now = d.now
         for message in asked(d, f"t{n}", f"t{n}")[1]:
             hears.feed(api.PeerMessage(message))
     assert all(s.eased < 1 for s in hears.router.servers.values())
@@ -151,7 +154,7 @@
     d.list(*SERVERS)
     name = server(d, "s3").name
     monkeypatch.setattr(policy, "ring_hash", None)
-    d.feed(api.PeerMessage(Demand().message([name, 12345])))
+    d.feed(api.PeerMessage(Demand().message([name, 12345], now=d.now)))
     assert [s.entry.server for s in d.router.servers.values() if s.eased < 1] == ["s3"]
 
 
@@ -189,6 +192,7 @@
     knows.now += 1.5
     for n, key in enumerate(["k", "other", "more"]):
         knows.now += 0.5
+        hears.now = knows.now
         for message in asked(knows, f"t{n}", key)[1]:
             hears.feed(api.PeerMessage(message))
     after = [hears.request(f"a{n}", key=f"k{n}", finish=True) for n in range(400)]
