Mark the form of messages between routers, so that versions side by side pass each other's

The head has grown by the time of sending. A router of the version before might have read a count of requests where the time stands, as the digest did not differ.

--- a/brackenwalk/demand.py
+++ b/brackenwalk/demand.py
@@ -16,6 +16,7 @@
 RECENT = 0.125  # of the memory that tells what turned hot just now
 MEMORY = 128.0  # requests remembered for each server: a key that just counts as hot is seen thirty times
 CHECK = 4  # bytes of a digest, which a garbled message does not match
+FORM = b"told 2"  # of the message: routers of another version, for which it would say something else, pass it
 HEAD = struct.Struct(">HHB")  # when it was sent, requests in all, and how many lines there are
 STAMP = 0.01  # seconds, the unit of the time sent, which begins anew after eleven minutes
 ROUND = 1 << 16
@@ -31,7 +32,7 @@
 
 def sealed(body: bytes) -> bytes:
     """A message's body behind its digest."""
-    return hashlib.blake2b(body, digest_size=CHECK).digest() + body
+    return hashlib.blake2b(body, digest_size=CHECK, person=FORM).digest() + body
 
 
 def stamp_of(now: float) -> int:
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
+import struct
 from collections import Counter
 
 import pytest
@@ -142,3 +144,11 @@
         d.router._found_ailing(d.router.servers["s1"])
         d.request(f"r{d.now}", key="k", finish=True)
     assert not d.told
+
+
+def test_a_message_of_the_form_before_is_not_read() -> None:
+    """Read as the present form it would have told of requests that nobody made."""
+    body = struct.pack(">HBIB", 600, 1, 7, 9) + bytes(2)
+    hears = Demand()
+    hears.hear(hashlib.blake2b(body, digest_size=CHECK).digest() + body)
+    assert hears.garbled == 1 and not hears.long.total
