Build nothing anew when a watch ends with no news

Change: such an answer builds nothing; a list's zones are made once a zone, not once a server. Test: test_a_watch_that_ends_with_no_news_looks_at_no_server, which fails on the old code.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -118,7 +118,8 @@
                 self.servers[entry.server] = self.named[name] = Server(entry, not origin, name)
             else:
                 known.entry = entry
-        self._build_ring()
+        if event.entries or event.kind is not api.ListKind.DELTA:
+            self._build_ring()  # a watch's end with no news, one every few seconds, changes nothing
         if event.kind is not api.ListKind.SAVED:
             self.calls.listed(self.now)
         elif self.settings.subscribe:
--- a/brackenwalk/shares.py
+++ b/brackenwalk/shares.py
@@ -36,7 +36,8 @@
     def take(self, caches: list[Server]) -> None:
         """The list's cache servers that may be sent to."""
         self.caches, self.even = caches, {}
-        self.zones = {s.entry.zone: self.zones.get(s.entry.zone, Zone()) for s in caches}
+        names = dict.fromkeys(s.entry.zone for s in caches)
+        self.zones = {name: self.zones.get(name) or Zone() for name in names}
         self.unsteady = dict.fromkeys(s for s in caches if self._warms_up(s) or self.eased(s) < 1)
 
     def zone_is_back(self, zone: Zone) -> None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -106,3 +106,13 @@
     monkeypatch.setattr(shares, "started", looked)
     shares.plan(d.router._clockwise, d.router.ring.first)
     assert {s.entry.server for s in looks} <= {"s7"} and len(looks) < 100
+
+
+def test_a_watch_that_ends_with_no_news_looks_at_no_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With 930 servers each such answer cost 11 ms, once every three seconds at every router."""
+    d = Driver(CONF)
+    d.list(*(entry(f"s{i}") for i in range(8)))
+    before = d.request("r1", key="k", finish=True)
+    monkeypatch.setattr(d.router, "_build_ring", None)
+    assert d.list(kind=api.ListKind.DELTA) == []
+    assert d.request("r2", key="k", finish=True) == before
