--- a/fleetlab/experiment.py
+++ b/fleetlab/experiment.py
@@ -137,8 +137,8 @@
     "network.loss",
     "network.doubled",
     "network.garbled",
-    "memory_share",
 ]
+MOST_MEMORY = 0.5  # of the machine's: the rest is for whatever else it does
 AT_LEAST = {
     "seconds": 0.1,
     "settle": 0.1,
@@ -211,6 +211,8 @@
     for key in SHARES:
         if not 0 <= (value := _value(tree, key)) <= 1:
             return f"{key}: wanted a share, 0 to 1, not {value:g}"
+    if not 0 <= experiment.memory_share <= MOST_MEMORY:
+        return f"memory_share: wanted {MOST_MEMORY} at most, not {experiment.memory_share:g}"
     if not 1 <= fleet.real + fleet.hollow <= MOST_ADDRESSES:
         return f"fleet.real: wanted 1 to {MOST_ADDRESSES} routers, fleet.real and fleet.hollow together"
     if fleet.servers > MOST_ADDRESSES:
--- a/tests/test_lab_experiment.py
+++ b/tests/test_lab_experiment.py
@@ -36,6 +36,7 @@
         ("name = 'x'\n[fleet]\nzones = 0", "fleet.zones", "wanted 1 or more, not 0"),
         ("name = 'x'\n[fleet]\nservers = 20000", "fleet.servers", "wanted 14000 at most"),
         ("name = 'x'\n[fleet]\nfull = 1", "fleet.full", "wanted fleet.hollow (0) at most"),
+        ("name = 'x'\nmemory_share = 0.6", "memory_share", "wanted 0.5 at most, not 0.6"),
         ("name = 'x'\n[requests]\nhits = 1.5", "requests.hits", "wanted a share, 0 to 1, not 1.5"),
         ("name = 'x'\n[requests]\nrate = inf", "requests.rate", "wanted a finite number"),
         ("name = 'x'\n[network]\nloss = -0.1", "network.loss", "wanted a share, 0 to 1"),
