--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -125,6 +125,18 @@
     return address_of((await said(log, rb"listening on [0-9.]+:\d+")).decode().removeprefix("listening on "))
 
 
+async def launched(path: Path, config: dict[str, Any]) -> asyncio.subprocess.Process:
+    """The program in a process of its own, with a configuration at this path; its log is standard error."""
+    path.write_bytes(orjson.dumps(config))
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "brackenwalk",
+        env={**os.environ, "RELAY_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
 @pytest.mark.parametrize("mode", ["subscribe", "automatic"])
 def test_the_program_serves_moves_and_ends_when_nothing_is_owed(mode: str, tmp_path: Path) -> None:
     """Ended too early it loses what it has taken; too late it is killed with what it holds.
@@ -140,14 +152,7 @@
             config = {**GOOD, "settings": settings, "listen": "127.0.0.1:0", "discovery": discovery.address}
             config["known"] = known
             path = tmp_path / "config.json"
-            path.write_bytes(orjson.dumps(config))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "brackenwalk",
-                env={**os.environ, "RELAY_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE,
-            )
+            process = await launched(path, config)
             try:
                 watch = await discovery.link()
                 assert "after=1&" in (await watch.http())[0]
@@ -188,14 +193,7 @@
             config["settings"] = {**CONF, "classes": [{**c, "giveUp": 0.3} for c in classes]}
             config["known"] = {"index": 1, "snapshot": True, "endpoints": [line]}
             path = tmp_path / "config.json"
-            path.write_bytes(orjson.dumps(config))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "brackenwalk",
-                env={**os.environ, "RELAY_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE,
-            )
+            process = await launched(path, config)
             try:
                 address = await listening(process.stderr)
                 clients = [await ready(address) for _ in range(3)]
@@ -229,14 +227,7 @@
             config = {**GOOD, **talks, "settings": settings, "known": known}
             config |= {"listen": "127.0.0.1:0", "discovery": discovery.address}
             path = tmp_path / "config.json"
-            path.write_bytes(orjson.dumps(config))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "brackenwalk",
-                env={**os.environ, "RELAY_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE,
-            )
+            process = await launched(path, config)
             try:
                 client = await ready(await listening(process.stderr))
                 watch = await discovery.link()
--- a/tests/test_terms_clients.py
+++ b/tests/test_terms_clients.py
@@ -7,24 +7,21 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import resource
 import signal
 import socket
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, Self
 
-import orjson
 import pytest
 
 from brackenwalk.net import clients
 from brackenwalk.net.clients import MAX_PIPELINED, ClientConnection
 from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, book, command, http, read, run, spelled
-from tests.test_main import GOOD, listening
+from tests.test_main import GOOD, launched, listening
 from tests.test_net_discovery import LINE
 from tests.test_wirehost import CONF
 
@@ -441,14 +438,7 @@
     classes = [{**c, "giveUp": 1.0} for c in CONF["classes"]]
     config["settings"] = {**CONF, "membershipMode": "automatic", "classes": classes}
     path = tmp_path / "config.json"
-    path.write_bytes(orjson.dumps(config))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "brackenwalk",
-        env={**os.environ, "RELAY_CONFIG": str(path)},
-        stderr=asyncio.subprocess.PIPE,
-    )
+    process = await launched(path, config)
     try:
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (limit, limit))
         address = await listening(process.stderr)
--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import heapq
-import os
 import socket
-import sys
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -14,7 +12,6 @@
 from pathlib import Path
 from typing import Any
 
-import orjson
 import pytest
 
 from brackenwalk import interface as api
@@ -23,7 +20,7 @@
 from brackenwalk.policy import Router
 from tests.driver import entry, settings
 from tests.loopback import Link, Peer, command, http, run, spelled
-from tests.test_main import GOOD, listening, ready
+from tests.test_main import GOOD, launched, listening, ready
 from tests.test_net_discovery import LINE, Told, call, message
 from tests.test_wirehost import CONF
 
@@ -398,14 +395,7 @@
     """A process of its own, ended by its id."""
     config = {**GOOD, "listen": "127.0.0.1:0", "discovery": discovery, "known": known}
     config["settings"] = {**CONF, **changes}
-    path.write_bytes(orjson.dumps(config))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "brackenwalk",
-        env={**os.environ, "RELAY_CONFIG": str(path)},
-        stderr=asyncio.subprocess.PIPE,
-    )
+    process = await launched(path, config)
     try:
         yield process
     finally:
