Show before and after on the capacity page, and take folders of results

Plays of an earlier module (experiments NAME_before) stand beside those of this one (NAME_after) in a table of their own, and nowhere else: a line through both would be of neither. The command refused folders, though the page says that lab/results/ makes it again.

--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -24,7 +24,7 @@
 from brackenwalk.telling import TELL, TELLERS
 from fleetlab.experiment import Experiment, Fleet
 from fleetlab.plan import Addresses, Plan, entry_of, first_list
-from fleetlab.slopes import RATES, Fit, Point, Value, choose
+from fleetlab.slopes import AFTER, BEFORE, LEAST_PLAYS, RATES, Fit, Point, Value, choose
 
 FRAME = Path(__file__).with_name("capacity.md.in")
 SIZES = ("today", "full", "users")
@@ -57,6 +57,72 @@
     deploy: dict[str, Any]
 
 
+@dataclass(frozen=True)
+class Compared:
+    """What is compared between an earlier module and this one."""
+
+    label: str
+    role: str
+    metric: str
+    limit: str = ""  # its name in the file of limits
+    each: float = 1.0  # of it: events a second, or what else makes it the limit's unit
+    over: str = ""  # a metric that is taken off
+    rate: str = ""  # a metric that it is multiplied with
+
+    def of(self, point: Point) -> list[float] | None:
+        """The value of each play that has all of it; None where none has."""
+        own = point.roles.get(self.role, {})
+        if not all(m in own for m in (self.metric, self.over, self.rate) if m):
+            return None
+
+        def values(metric: str, other: float) -> list[float | None]:
+            return own[metric].values if metric else [other] * len(own[self.metric].values)
+
+        plays = zip(values(self.metric, 0.0), values(self.over, 0.0), values(self.rate, 1.0), strict=True)
+        return [
+            self.each * (v - o) * r for v, o, r in plays if v is not None and o is not None and r is not None
+        ]
+
+
+COMPARED = (
+    Compared("control, quiet, share of a core", "module", "cpu.control", "control_share"),
+    Compared(
+        "control, the worst second of a zone's loss, share of a core",
+        "module",
+        "storm.cpu.control",
+        "control_share",
+    ),
+    Compared("a change of the list, microseconds", "module", "cpu.us.change"),
+    Compared(
+        "a change of the list a second, share of a core", "module", "cpu.us.change", "control_share", 1e-6
+    ),
+    Compared("a request that tells peers, microseconds", "module", "cpu.us.tell"),
+    Compared(
+        "telling peers, share of a core",
+        "module",
+        "cpu.us.tell",
+        "control_share",
+        1e-6,
+        "cpu.us.request",
+        "rate.tell",
+    ),
+    Compared("a datagram heard, microseconds", "module", "cpu.us.peer"),
+    Compared("datagrams heard, quiet, a second", "module", "rate.peer"),
+    Compared("datagrams heard, the worst second of a zone's loss", "module", "storm.rate.peer"),
+    Compared("bytes from peers, quiet, a second", "module", "bytes.in.peers", "control_bytes"),
+    Compared(
+        "bytes from peers, the worst second of a zone's loss",
+        "module",
+        "storm.bytes.in.peers",
+        "control_bytes",
+    ),
+    Compared("the module's state, MB", "module", "state.mb", "control_mb"),
+    Compared("control with sockets, share of a core", "hollow", "cpu.control", "control_share"),
+    Compared("bytes from peers, over sockets, a second", "hollow", "bytes.in.peers", "control_bytes"),
+    Compared("a change in force at the last router, seconds", "discovery", "force.max", "change_within"),
+)
+
+
 def read_given(path: Path) -> Given:
     """Read sizes and limits. Raises msgspec.ValidationError, or ValueError where a size is missing."""
     given = msgspec.convert(tomllib.loads(path.read_text()), Given)
@@ -669,6 +735,13 @@
     }
 
 
+def _ranged(values: Sequence[float]) -> str:
+    """The mean of plays, with their range."""
+    few = "" if len(values) >= LEAST_PLAYS else "†"
+    mean = math.fsum(values) / len(values)
+    return f"{number(mean)}{few} ({number(min(values))} to {number(max(values))})"
+
+
 def slope_text(cells: Iterable[Cell | None]) -> str:
     """What an axis costs, of the last size that has a figure; or the formula."""
     cell = next((c for c in reversed(list(cells)) if c is not None), None)
@@ -777,6 +850,39 @@
         ]
         return "\n".join(some) or "- none"
 
+    def compared(self) -> str:
+        """Before and after: what a router's control took with an earlier module and takes with this one.
+
+        Of experiments NAME_before and NAME_after, at each size that both played.
+        """
+        places: dict[tuple[str, float, float], dict[str, Point]] = {}
+        for point in self.points:
+            for end in (BEFORE, AFTER):
+                if point.experiment.endswith(end):
+                    stem = point.experiment.removesuffix(end)
+                    place = (stem, point.axis("routers"), point.axis("servers"))
+                    places.setdefault(place, {})[end] = point
+        both = [(place, found) for place, found in sorted(places.items()) if len(found) > 1]
+        if not both:
+            return f"{NOT_MEASURED.capitalize()}."
+        columns = ("", "routers / servers", "before", "after", "limit", "ratio before", "ratio after")
+        out = ["| " + " | ".join([*columns, "before / after", "runs"]) + " |", "| --- " * 9 + "|"]
+        for what in COMPARED:
+            for (_, routers, servers), found in both:
+                was, now = what.of(found[BEFORE]), what.of(found[AFTER])
+                if not was or not now:
+                    continue
+                limit = self.given.limits[what.limit] if what.limit else None
+                means = [math.fsum(values) / len(values) for values in (was, now)]
+                texts = [_ranged(values) for values in (was, now)]
+                ratios = [number(mean / limit) if limit else "" for mean in means]
+                less = number(means[0] / means[1]) if means[1] else ""
+                refs = ", ".join(self.refs[found[end].experiment] for end in (BEFORE, AFTER))
+                size = f"{number(routers)} / {number(servers)}"
+                cells = [what.label, size, *texts, number(limit) if limit else "", *ratios, less, refs]
+                out.append("| " + " | ".join(cells) + " |")
+        return "\n".join(out)
+
     def say(self, *wanted: tuple[str, str], unit: str, steady: bool = True) -> str:
         """A figure at the users' size, with its runs."""
         cell = measured(*wanted, steady=steady)(self.lines, self.sizes[-1])
@@ -795,7 +901,7 @@
         shown = ("served", "late", "failed", "calls.waiting", "calls.failed", "cold.window")
         out = []
         for point in self.points:
-            if set(kinds) & set(point.faults()):
+            if set(kinds) & set(point.faults()) and not point.experiment.endswith(BEFORE):
                 some = [
                     f"{role} {metric} {number(f.mean)} ({number(f.low)} to {number(f.high)}) {f.unit}"
                     for role, figures in point.roles.items()
@@ -929,6 +1035,7 @@
             "unknown": self.unknown(),
             "tables": "\n\n".join(f"## {role}\n\n{self.table(role)}" for role in self.filled),
             **self.numbers(),
+            "compared": self.compared(),
             "decision": decision or "Not written yet.",
             "runs": self.runs(),
         }
--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -157,15 +157,13 @@
 
 
 @main.command()
-@click.argument(
-    "results", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True, dir_okay=False)
-)
+@click.argument("results", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
 @click.option("--out", required=True, type=click.Path(path_type=Path, file_okay=False), help="For the plots.")
 @click.option(
     "--page", type=click.Path(path_type=Path, dir_okay=False), help="A page whose tables are written anew."
 )
 def report(results: tuple[Path, ...], out: Path, page: Path | None) -> None:
-    """Make slopes, plots and tables from RESULTS."""
+    """Make slopes, plots and tables from RESULTS: result files, summaries, or folders of these."""
     with _exit_codes():
         _part("fleetlab.report").make(list(results), out, page)
 
--- a/fleetlab/report.py
+++ b/fleetlab/report.py
@@ -37,7 +37,8 @@
     (out / "summary.md").write_text(summary(points, lines, [p.name for p in plots]))
     if page is not None:
         decision = lab / DECISION
-        text = capacity.Page(points, lines, given).render(decision.read_text() if decision.exists() else None)
+        now = [line for line in lines if not line.experiment.endswith(slopes.BEFORE)]
+        text = capacity.Page(points, now, given).render(decision.read_text() if decision.exists() else None)
         page.parent.mkdir(parents=True, exist_ok=True)
         page.write_text(text)
 
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -35,6 +35,10 @@
     "module": "requests.full_rate",
 }
 DAILY = {"changes", "servers_change"}  # what happens on any day
+BEFORE, AFTER = (
+    "_before",
+    "_after",
+)  # end the names of an experiment's plays with an earlier module and this one
 # what hollow routers that do not hear peers lower, in the mean of all
 HEARD = ("cpu.control", "cpu.share", "rate.peer", "bytes.in.peers")
 
@@ -291,7 +295,8 @@
 def groups(points: Sequence[Point]) -> list[tuple[str, list[Point]]]:
     """The points that a line may go through, with the name of their experiments.
 
-    These are an experiment's, and those of several that differ in the numbers of routers and servers alone.
+    These are an experiment's, and those of several that differ in the numbers of routers and servers alone;
+    plays of an earlier module stay by themselves.
     """
     by_name: dict[tuple[Any, ...], list[Point]] = {}
     by_rest: dict[tuple[Any, ...], list[Point]] = {}
@@ -299,7 +304,8 @@
         words = tuple(sorted((k, v) for k, v in point.settings.items() if isinstance(v, str)))
         rest = tuple(sorted((k, v) for k, v in point.settings.items() if k not in NO_AXIS))
         by_name.setdefault((point.experiment, point.mode, words), []).append(point)
-        by_rest.setdefault((point.mode, rest), []).append(point)
+        if not point.experiment.endswith(BEFORE):
+            by_rest.setdefault((point.mode, rest), []).append(point)
     several = [g for g in by_rest.values() if len({p.experiment for p in g}) > 1]
     return [("+".join(sorted({p.experiment for p in g})), g) for g in (*by_name.values(), *several)]
 
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -8,8 +8,10 @@
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 
 from fleetlab import capacity, report, slopes
+from fleetlab.cli import main
 from fleetlab.experiment import Experiment, Fault, Fleet, Requests
 from fleetlab.results import Machine, Metric, Result, Role, write_result
 
@@ -178,6 +180,30 @@
     assert "Not written yet" in text or (report.LAB / report.DECISION).exists()
 
 
+def test_before_and_after_stand_side_by_side_and_before_nowhere_else(tmp_path: Path) -> None:
+    for name, control, tell in (("grow_before", 0.024, 1100.0), ("grow_after", 0.006, 200.0)):
+        for seed in (1, 2, 3):
+            module = {"cpu.control": control * seed / 2, "cpu.us.tell": tell, "cpu.us.request": 100.0}
+            module |= {"rate.tell": 4.0, "state.mb": 0.0 if name == "grow_after" else 64.0}
+            play(tmp_path / "r", (40, 60), seed, {"module": module}, name=name)
+    play(
+        tmp_path / "r", (80, 60), 1, {"module": {"cpu.control": 1.0}}, name="grow_before"
+    )  # not played after
+    page = tmp_path / "CAPACITY.md"
+    report.make([tmp_path / "r"], tmp_path / "out", page)
+    text = page.read_text()
+    rows = text.split("## Before and after")[1].split("## What goes first")[0]
+    start = "| control, quiet, share of a core | 40 / 60 | "
+    assert start + "0.024 (0.012 to 0.036) | 0.006 (0.003 to 0.009) | 0.012 | 2 | 0.5 | 4 | R2, R1 |" in rows
+    # (1100 − 100) us × 4 a second
+    assert "| telling peers, share of a core | 40 / 60 | 0.004 (0.004 to 0.004) | 0.0004 (" in rows
+    assert "| 32 | 2 | 0 |  | R2, R1 |" in rows and "80 / 60" not in rows and "datagram" not in rows
+    lines = slopes.fits(slopes.read([tmp_path / "r"]))
+    assert {line.experiment for line in lines} == {"grow_before", "grow_after"}  # and no line through both
+    row = next(line for line in text.splitlines() if "control as the module alone" in line)
+    assert "R2" not in row  # R2 is before: its line would reach the users' size
+
+
 def test_nothing_measured_is_said_so(tmp_path: Path) -> None:
     page = tmp_path / "CAPACITY.md"
     report.make([], tmp_path / "out", page)
@@ -209,6 +235,17 @@
     assert len(msgspec.json.decode((first / "slopes.json").read_bytes(), type=list[slopes.Fit])) == 3
 
 
+def test_the_command_takes_files_and_folders(tmp_path: Path) -> None:
+    path = play(tmp_path / "r", (40, 60), 1, {"module": {"state.mb": 1.0}})
+    for i, which in enumerate((path, path.parent)):
+        out = tmp_path / str(i)
+        done = CliRunner().invoke(
+            main, ["report", str(which), "--out", str(out), "--page", str(out / "page.md")]
+        )
+        assert done.exit_code == 0, done.output
+    assert (tmp_path / "0" / "page.md").read_bytes() == (tmp_path / "1" / "page.md").read_bytes()
+
+
 def test_sizes_and_settings_are_read_by_name(tmp_path: Path) -> None:
     given = capacity.read_given(report.LAB / report.SIZES)
     users = given.sizes["users"]
