Bring the capacity page's formulas to the module as it is

What all routers hear of keys has a bound in bytes, what ails is told alone and by those to whom it is news, and the ring takes in what moved: formulas and mechanisms said otherwise. Bytes with the headers of IP and UDP stand where the module's own bound counts them. The table of before and after also has discovery's queue, cold servers and clients.

--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -21,7 +21,7 @@
 from brackenwalk.net.discovery import ANSWER_MARGIN, EMPTY_PAUSE, WATCH_WAIT
 from brackenwalk.net.peers import HELD
 from brackenwalk.policy import FAULTY, POINTS, SILENCE
-from brackenwalk.telling import TELL, TELLERS
+from brackenwalk.telling import DATAGRAM, HEARD, TELL, TELLERS
 from fleetlab.experiment import Experiment, Fleet
 from fleetlab.plan import Addresses, Plan, entry_of, first_list
 from fleetlab.slopes import AFTER, BEFORE, LEAST_PLAYS, RATES, Fit, Point, Value, choose
@@ -68,19 +68,24 @@
     each: float = 1.0  # of it: events a second, or what else makes it the limit's unit
     over: str = ""  # a metric that is taken off
     rate: str = ""  # a metric that it is multiplied with
+    datagrams: str = ""  # a rate of these, whose headers of IP and UDP are added
 
-    def of(self, point: Point) -> list[float] | None:
-        """The value of each play that has all of it; None where none has."""
+    def of(self, point: Point) -> list[float]:
+        """The value of each play that has all of it."""
         own = point.roles.get(self.role, {})
-        if not all(m in own for m in (self.metric, self.over, self.rate) if m):
-            return None
-
-        def values(metric: str, other: float) -> list[float | None]:
-            return own[metric].values if metric else [other] * len(own[self.metric].values)
-
-        plays = zip(values(self.metric, 0.0), values(self.over, 0.0), values(self.rate, 1.0), strict=True)
+        names = [m for m in (self.metric, self.over, self.rate, self.datagrams) if m]
+        if not all(m in own for m in names):
+            return []
+        plays = (
+            dict(zip(names, values, strict=True))
+            for values in zip(*(own[m].values for m in names), strict=True)
+        )
+        known = ({m: v for m, v in play.items() if v is not None} for play in plays)
         return [
-            self.each * (v - o) * r for v, o, r in plays if v is not None and o is not None and r is not None
+            self.each * (v[self.metric] - v.get(self.over, 0.0)) * v.get(self.rate, 1.0)
+            + DATAGRAM * v.get(self.datagrams, 0.0)
+            for v in known
+            if len(v) == len(names)
         ]
 
 
@@ -109,17 +114,33 @@
     Compared("a datagram heard, microseconds", "module", "cpu.us.peer"),
     Compared("datagrams heard, quiet, a second", "module", "rate.peer"),
     Compared("datagrams heard, the worst second of a zone's loss", "module", "storm.rate.peer"),
-    Compared("bytes from peers, quiet, a second", "module", "bytes.in.peers", "control_bytes"),
     Compared(
-        "bytes from peers, the worst second of a zone's loss",
+        "bytes from peers with headers, quiet, a second",
+        "module",
+        "bytes.in.peers",
+        "control_bytes",
+        datagrams="rate.peer",
+    ),
+    Compared(
+        "bytes from peers with headers, the worst second of a zone's loss",
         "module",
         "storm.bytes.in.peers",
         "control_bytes",
+        datagrams="storm.rate.peer",
     ),
     Compared("the module's state, MB", "module", "state.mb", "control_mb"),
     Compared("control with sockets, share of a core", "hollow", "cpu.control", "control_share"),
-    Compared("bytes from peers, over sockets, a second", "hollow", "bytes.in.peers", "control_bytes"),
+    Compared(
+        "bytes from peers with headers, over sockets, a second",
+        "hollow",
+        "bytes.in.peers",
+        "control_bytes",
+        datagrams="rate.peer",
+    ),
     Compared("a change in force at the last router, seconds", "discovery", "force.max", "change_within"),
+    Compared("calls waiting at discovery, most", "discovery", "calls.waiting"),
+    Compared("fullest window of a cold server, part of what makes it fall", "caches", "cold.window"),
+    Compared("requests of clients served, share", "clients", "served"),
 )
 
 
@@ -301,15 +322,22 @@
     return CHECK + HEAD.size + LINE.size * min(LINES, TELL * aim * size.rate)
 
 
+def keys_bytes(size: Size, aim: float) -> float:
+    """Bytes a second that a router hears of keys at most, with the headers of IP and UDP; see `Telling`."""
+    message = DATAGRAM + message_bytes(size, aim)
+    part = min(1.0, TELLERS / size.routers, HEARD * TELL * aim / (size.routers * message))
+    return part * (size.routers - 1) / (TELL * aim) * message
+
+
 def tables(given: Given) -> dict[str, list[Row]]:
     """The rows of each role's table."""
     limits, deploy = given.limits, given.deploy
     aim = float(deploy["shortest_aim"])
     room = int(deploy["sockets"]) - RESERVE
     watch = f"watch of {number(WATCH_WAIT)} s by each router at discovery"
-    tellers = f"hot keys told by {TELLERS} tellers"
-    ailing = "ailing servers told by all routers"
-    deltas = "list deltas; the ring is rebuilt whole by `Ring.settle`"
+    tellers = f"hot keys told by {TELLERS} tellers, within {number(HEARD)} bytes a second"
+    ailing = "ailing servers, told by routers to which it is news"
+    deltas = "list deltas; `Ring.settle` takes in what moved"
     missing = "missing"
     peers_rate = ("hollow", "rate.peer"), ("module", "rate.peer"), ("real", "rate.peer")
     peers_in = measured(("network", "bytes.in.peers"), ("hollow", "bytes.in.peers"))
@@ -321,9 +349,6 @@
 
     longest = f"({CHECK + HEAD.size} + {LINE.size} × min({LINES}, requests between two messages)) bytes"
 
-    def told(size: Size) -> float:
-        return min(1.0, TELLERS / size.routers) * (size.routers - 1) / (TELL * aim)
-
     router = [
         Row(
             "state",
@@ -393,18 +418,24 @@
             "from peers, at most, a second",
             tellers,
             formula(
-                f"min(1, {TELLERS} / routers) × (routers − 1) / ({TELL:g} × aim of {aim:g} s) × {longest}",
-                lambda s: told(s) * message_bytes(s, aim),
+                f"(routers − 1) / ({TELL:g} × aim of {aim:g} s) × ({DATAGRAM} + message) × the least of 1, "
+                f"{TELLERS} / routers and {number(HEARD)} × {TELL:g} × aim / "
+                f"(routers × ({DATAGRAM} + message)); message: {longest}",
+                lambda s: keys_bytes(s, aim),
             ),
             limit_bytes,
         ),
         Row(
             "bytes",
-            "from peers while all routers find a server ailing, at most, a second",
+            "from peers while all routers find a server ailing at once and none hears another, a second",
             ailing,
             formula(
-                f"(routers − 1) / ({TELL:g} × aim of {aim:g} s) × ({NAME.size} + {longest})",
-                lambda s: (s.routers - 1) / (TELL * aim) * (NAME.size + message_bytes(s, aim)),
+                f"(routers − 1) / ({TELL:g} × aim of {aim:g} s) × ({DATAGRAM} + {CHECK + HEAD.size} + "
+                f"{NAME.size}) + what is heard of keys",
+                lambda s: (
+                    (s.routers - 1) / (TELL * aim) * (DATAGRAM + CHECK + HEAD.size + NAME.size)
+                    + keys_bytes(s, aim)
+                ),
             ),
             limit_bytes,
         ),
@@ -453,7 +484,7 @@
             for kind, label, how in (
                 ("list", "a whole list", "`known` at the start; " + deltas),
                 ("change", "a change of the list", deltas),
-                ("peer", "a datagram heard", "`Demand.hear`"),
+                ("peer", "a datagram heard", "`Telling.hear`"),
                 ("tell", "a message to peers", "`Telling.message`, `Demand.share_out`"),
                 ("request", "a request (no control)", "`Router._choose`"),
             )
@@ -940,6 +971,7 @@
             "margin": ANSWER_MARGIN,
             "faulty": FAULTY,
             "tellers": TELLERS,
+            "headers": DATAGRAM,
             "silence": SILENCE,
             "purges_rate": purges,
             "purge_within": limits["purge_within"],
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -184,7 +184,12 @@
     for name, control, tell in (("grow_before", 0.024, 1100.0), ("grow_after", 0.006, 200.0)):
         for seed in (1, 2, 3):
             module = {"cpu.control": control * seed / 2, "cpu.us.tell": tell, "cpu.us.request": 100.0}
-            module |= {"rate.tell": 4.0, "state.mb": 0.0 if name == "grow_after" else 64.0}
+            module |= {
+                "bytes.in.peers": 1000.0,
+                "rate.peer": 10.0,
+                "rate.tell": 4.0,
+                "state.mb": 0.0 if name == "grow_after" else 64.0,
+            }
             play(tmp_path / "r", (40, 60), seed, {"module": module}, name=name)
     play(
         tmp_path / "r", (80, 60), 1, {"module": {"cpu.control": 1.0}}, name="grow_before"
@@ -197,7 +202,8 @@
     assert start + "0.024 (0.012 to 0.036) | 0.006 (0.003 to 0.009) | 0.012 | 2 | 0.5 | 4 | R2, R1 |" in rows
     # (1100 − 100) us × 4 a second
     assert "| telling peers, share of a core | 40 / 60 | 0.004 (0.004 to 0.004) | 0.0004 (" in rows
-    assert "| 32 | 2 | 0 |  | R2, R1 |" in rows and "80 / 60" not in rows and "datagram" not in rows
+    assert "| 32 | 2 | 0 |  | R2, R1 |" in rows and "80 / 60" not in rows and "zone's loss" not in rows
+    assert "quiet, a second | 40 / 60 | 1,280 (1,280 to 1,280) | " in rows  # ten headers of 28
     lines = slopes.fits(slopes.read([tmp_path / "r"]))
     assert {line.experiment for line in lines} == {"grow_before", "grow_after"}  # and no line through both
     row = next(line for line in text.splitlines() if "control as the module alone" in line)
