Play four times as long for what quiet routers hear

Thirty routers stand for 2,300, and with the bound on what is told they told three messages in three seconds: one more or less was a third of the figure.

--- a/fleetlab/module_costs.py
+++ b/fleetlab/module_costs.py
@@ -27,7 +27,7 @@
 
 PLAYED = 30  # routers of the model at most; each stands for several in a larger fleet
 WARM = 2  # seconds until counts are taken: the memory of what is asked for has filled by then
-QUIET, STORM, TIMED = 3, 6, 5  # seconds of each part
+QUIET, STORM, TIMED = 12, 6, 5  # seconds of each part; quiet routers of a large fleet tell little
 LISTS = 3  # first lists, each to a new instance
 CHANGES = 8  # servers that drain, go, and come back new
 CONTROL = ("change", "call", "peer", "timer", "tell")  # and what a list takes, of which there are few
