Take no figures from plays whose hollow routers could not keep up

With 2,298 hollow routers in a few processes a quarter of the planned requests was not made, and the time until a change was in force was the laboratory's own queue; the page would have shown it as measured at the users' size. Such plays are named with their reason.

--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -1040,13 +1040,20 @@
             machines = sorted({f"{q.machine.processor}, {q.machine.cores} cores" for q in plays})
             columns = [
                 f"{name} ({', '.join(sorted({p.mode for p in points}))})",
-                f"{len(points)}{f', {off} plays broken off and left out' if off else ''}",
+                f"{len(points)}{f', {off} plays left out' if off else ''}",
                 ", ".join(str(s) for s in sorted({q.seed for q in plays})),
                 ", ".join(commits),
                 "; ".join(machines),
                 ", ".join(sorted({q.file for q in plays})),
             ]
             out.append(f"| {ref} | " + " | ".join(columns) + " |")
+        notes = [
+            f"- {q.file}: {'; '.join([*q.notes, *(['broken off'] if not q.notes else [])])}"
+            for p in self.points
+            for q in p.plays
+            if q.broken_off
+        ]
+        out += ["", "Left out:", "", *notes] if notes else []
         return "\n".join(out) if self.refs else "None: nothing has been measured."
 
     def sizes_text(self) -> str:
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -19,6 +19,9 @@
 
 from fleetlab.results import Machine, Result
 
+LEAST_ASKED = (
+    0.9  # of the planned requests: a process that made fewer was too full, and its figures say nothing
+)
 LEAST_PLAYS = 3  # of a point; with fewer it is marked
 ROUNDING = 1e-9  # of the greatest value: less is not of the plays but of the arithmetic
 ERRORS = 2.0  # standard errors that a range holds on either side: 19 of 20, if errors are normal
@@ -56,7 +59,7 @@
     began: str
     machine: Machine
     notes: list[str] = []
-    broken_off: bool = False
+    broken_off: bool = False  # or its processes were too full: no figure is taken from it
 
 
 class Figure(msgspec.Struct):
@@ -258,6 +261,7 @@
     experiment = result.experiment
     point = Point(experiment.name, experiment.mode, flatten(msgspec.to_builtins(experiment)), [])
     command = re.sub(r"(?<!\S)/\S*/", "", result.command)  # where it lay on a machine says nothing
+    full = _too_full(result)
     play = Play(
         file.name,
         result.seed,
@@ -266,8 +270,8 @@
         command,
         result.began,
         result.machine,
-        result.notes,
-        result.broken_off,
+        [*result.notes, *full],
+        result.broken_off or bool(full),
     )
     roles = {
         # six digits are more than any play's, and keep the summary short
@@ -279,6 +283,16 @@
     return [(point, play, roles)]
 
 
+def _too_full(result: Result) -> list[str]:
+    """A note where hollow routers could not keep up, so that it was the laboratory that was measured."""
+    asked = [a.value for role in result.roles.values() if (a := role.metrics.get("asked")) is not None]
+    if not asked or min(asked) >= LEAST_ASKED:
+        return []
+    late = result.roles["lab"].metrics.get("lag") if "lab" in result.roles else None
+    said = "" if late is None else f", and came up to {late.high:.3g} s late"
+    return [f"hollow routers made {min(asked):.2g} of the planned requests{said}: figures left out"]
+
+
 def _figures(plays: list[dict[str, dict[str, tuple[float, str]]]]) -> dict[str, dict[str, Figure]]:
     roles: dict[str, dict[str, Figure]] = {}
     for role in sorted({r for p in plays for r in p}):
