--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -101,6 +101,8 @@
     Compared(
         "a change of the list a second, share of a core", "module", "cpu.us.change", "control_share", 1e-6
     ),
+    Compared("the first list, microseconds", "module", "cpu.us.list"),
+    Compared("a call with no news, microseconds", "module", "cpu.us.call"),
     Compared("a request that tells peers, microseconds", "module", "cpu.us.tell"),
     Compared(
         "telling peers, share of a core",
