--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -609,19 +609,19 @@
         Row(
             "messages",
             "calls failed, a second",
-            "asked again after a doubling pause",
+            "asked again once a round, in turn: `Calls`",
             measured(("discovery", "calls.failed")),
         ),
         Row(
             "messages",
             "calls waiting, most",
-            "`Router.turn`: each router's call in its turn",
+            "`Calls.until_turn`: each router's call in its turn",
             measured(("discovery", "calls.waiting")),
         ),
         Row(
             "messages",
             "service time if all begin a watch at once, seconds",
-            "`Router.turn`, after a failure `_ask_list_later`",
+            "`Calls.until_turn`",
             formula(
                 f"routers × {number(float(deploy['call_ms']))} ms",
                 lambda s: s.routers * float(deploy["call_ms"]) / 1000,
