--- a/fleetlab/report.py
+++ b/fleetlab/report.py
@@ -16,7 +16,7 @@
 from fleetlab.slopes import LEAST_PLAYS, Fit, Point, Term
 
 LAB = Path(__file__).parent.parent / "lab"
-SIZES = "size-users.toml"
+SIZES = "given/size.toml"
 DECISION = "decision.md"
 
 
