Take a client's flood of commands in parts, a turn of the loop for each

A client's commands are now parsed in pieces of 4 KiB and taken 32 in a turn; the next ones follow in a turn of their own, after a look whether the client is still there, and once however many answers ask for it. Nothing more is read from the client meanwhile.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -21,6 +21,10 @@
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
+# commands of one connection that are read in one turn of the event loop: a client that sends hundreds at once
+# would hold up the answers to all others, and what is due in that turn is late by all of it
+READ_PER_TURN = 32
+PIECE = 4096  # bytes that are parsed at once, for the same reason
 PATIENCE = 2.5  # seconds for a first whole command: an error line or a close is owed within 3
 # seconds between looks for the end of clients that are not read from: asyncio tells of none then, and 0.1 s
 # after it no attempt may begin; a look late by a turn of a busy loop has to be in time as well
@@ -54,6 +58,8 @@
         self.listener = listener
         self.reader = Reader(parts=b":-$")  # a simple string as a part would pass for a bulk string
         self.held_back = 0  # bytes since the last whole command
+        self.unparsed = b""  # received and not handed to the parser yet
+        self.next_turn: asyncio.Handle | None = None  # in which commands that were held back are taken
         self.heard_at = 0.0  # when the last bytes came
         self.slots: deque[Slot] = deque()
         self.reading = True
@@ -79,31 +85,50 @@
             return
         if self.ending:  # read on only to see the client's end, and kept nowhere
             return
-        self.held_back += len(data)
+        self.unparsed += data
         self.heard_at = asyncio.get_running_loop().time()
+        self._take_commands()
+
+    def _take_commands(self) -> None:
+        """Take the commands that have come, as many as one turn of the loop may spend on one client."""
         try:
-            self.reader.feed(data)
-            self._take_commands()
+            left = self._take_some()
         except Exception:
             # guards the router: a fault here ends this connection alone, and its requests are settled
             log.exception("connection of a client")
             self.transport.abort()
+            return
+        if left:
+            self._go_on_soon()
+        self._read_or_not()
 
-    def _take_commands(self) -> None:
-        # a closing connection takes nothing more: nobody would hear that its client is gone
-        while self._wanted() and not self.transport.is_closing():
+    def _take_some(self) -> bool:
+        """Take a turn's commands; answers with whether more may be there that could be taken now."""
+        for _ in range(READ_PER_TURN):
+            # a closing connection takes nothing more: nobody would hear that its client is gone
+            if not self._wanted() or self.transport.is_closing():
+                return False
             try:
-                parts = self.reader.gets()
+                parts = self._next_command()
             except (hiredis.ProtocolError, MemoryError) as e:
                 self.end_with(f"-ERR {e}")
-                return
+                return False
             if parts is NOT_YET:
                 if self.held_back > MAX_COMMAND:
                     self.end_with("-ERR command is too long")
-                break
-            self.held_back = self.reader.held()
+                return False
             self._take(parts)
-        self._read_or_not()
+        return True
+
+    def _next_command(self) -> object:
+        """The next whole command's parts, or NOT_YET; hands the parser no more bytes than that takes."""
+        while (parts := self.reader.gets()) is NOT_YET and self.unparsed and self.held_back <= MAX_COMMAND:
+            piece, self.unparsed = self.unparsed[:PIECE], self.unparsed[PIECE:]
+            self.held_back += len(piece)
+            self.reader.feed(piece)
+        if parts is not NOT_YET:
+            self.held_back = self.reader.held()
+        return parts
 
     def _take(self, parts: object) -> None:
         slot = Slot()
@@ -133,23 +158,25 @@
         if self.ending and not self.slots:
             self.shut()
         elif not self.reading:
-            asyncio.get_running_loop().call_soon(self._go_on)
+            self._go_on_soon()
 
     def end_with(self, error: str) -> None:
         """Answer with an error and close: where the next command begins can't be told any more."""
         self.ending = True
+        self.unparsed = b""
         slot = Slot()
         self.slots.append(slot)
         self._answer(slot, error.encode("ascii", "replace").replace(b"\r\n", b" ") + b"\r\n")
 
     def _wanted(self) -> bool:
+        """Whether one more command may be taken."""
         return not self.ending and self.writable and len(self.slots) < MAX_PIPELINED
 
     def _read_or_not(self) -> None:
         """Bounds what a client can make the router hold: no reading while too much is unanswered."""
         if self in self.listener.lingering:
             return
-        wanted = self._wanted()
+        wanted = self._wanted() and self.next_turn is None
         if wanted != self.reading and not self.transport.is_closing():
             self.reading = wanted
             (self.transport.resume_reading if wanted else self.transport.pause_reading)()
@@ -163,8 +190,14 @@
             self.leave()
         return gone
 
+    def _go_on_soon(self) -> None:
+        """Take what was held back in the next turn of the loop, once for all that ask for it in this one."""
+        if self.next_turn is None:
+            self.next_turn = asyncio.get_running_loop().call_soon(self._go_on)
+
     def _go_on(self) -> None:
         """Take commands that were held back, which may have outlasted their client."""
+        self.next_turn = None
         if not self.look():
             self._take_commands()
 
@@ -174,17 +207,17 @@
 
     def resume_writing(self) -> None:
         self.writable = True
-        self._go_on()
+        self._go_on_soon()
 
     def idle(self) -> bool:
         """Whether nothing is owed, begun or unread."""
-        if self.slots or self.held_back or self.transport.is_closing():
+        if self.slots or self.held_back or self.unparsed or self.transport.is_closing():
             return False
         return not readable(self.transport)
 
     def stalled(self) -> bool:
         """Whether all that holds it is half a command that does not go on."""
-        if self.slots or not self.held_back or self.unsent() or self.transport.is_closing():
+        if self.slots or not self.held_back or self.unparsed or self.unsent() or self.transport.is_closing():
             return False
         silence = asyncio.get_running_loop().time() - self.heard_at
         return silence > STALLED and not readable(self.transport)
--- /dev/null
+++ b/tests/test_net_turns.py
@@ -0,0 +1,102 @@
+"""What one turn of the event loop may hold up, and what a fault in it may cost.
+
+Both ends of a connection live in one thread here: what a test sends or ends by hand is in the system before
+the router's loop turns again, so the order of events is the one written down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from brackenwalk.net.clients import PIECE, READ_PER_TURN, ClientConnection
+from tests.loopback import Router, command, read, run
+from tests.test_terms_clients import at_once, leave_at_once, turns
+
+FLOOD = 600  # commands that one client sends at once
+NO_COMMAND = read("flood", info="c=unheard-of,d=900")  # refused at once, so that no answer is waited for
+
+
+class Takes:
+    """The connections whose commands are taken, in that order."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.order: list[ClientConnection] = []
+        take = ClientConnection._take
+
+        def noted(connection: ClientConnection, parts: object) -> None:
+            self.order.append(connection)
+            take(connection, parts)
+
+        monkeypatch.setattr(ClientConnection, "_take", noted)
+
+
+def test_a_flood_from_one_client_does_not_hold_up_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All that had come was taken in one turn: what others had sent, and all that was due, was late by it."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            flooding, other = await router.client(), await router.client()
+            await turns()
+            takes = Takes(monkeypatch)
+            at_once(flooding, NO_COMMAND * FLOOD)
+            at_once(other, command("PING"))
+            assert await other.resp() == b"PONG"
+            assert len(takes.order) <= 4 * READ_PER_TURN
+            for _ in range(FLOOD):
+                assert isinstance(await flooding.resp(), Exception)
+
+    run(scenario)
+
+
+def test_no_more_of_a_flood_is_taken_once_its_client_has_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            flooding = await router.client()
+            await turns()
+            takes = Takes(monkeypatch)
+            at_once(flooding, NO_COMMAND * FLOOD)
+            while not takes.order:
+                await asyncio.sleep(0)
+            leave_at_once(flooding)
+            await turns()
+            assert len(takes.order) <= READ_PER_TURN and not router.listener.connections
+
+    run(scenario)
+
+
+def test_answers_of_one_turn_ask_for_one_turn_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each answer would otherwise have a turn's commands taken, all of them in the same turn."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            flooding = await router.client()
+            await turns()
+            takes = Takes(monkeypatch)
+            at_once(flooding, NO_COMMAND * FLOOD)
+            while not takes.order:
+                await asyncio.sleep(0)
+            assert len(takes.order) <= READ_PER_TURN
+            while len(takes.order) < FLOOD:
+                before = len(takes.order)
+                await asyncio.sleep(0)
+                assert len(takes.order) - before <= READ_PER_TURN
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("size", [1, PIECE - 1, PIECE, PIECE + 1, 65_536])
+def test_a_long_value_passes_whole_whatever_its_pieces(size: int) -> None:
+    value = bytes(i % 251 for i in range(size))
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            client.write(command("C.SET", "k", "w1", "c=book,t=x,d=2000,k=5c0f", value) + read("r1"))
+            origin = await router.origin.link()
+            assert (await origin.http())[2] == value
+            cache = await router.cache()
+            assert (await cache.resp())[2] == b"r1"
+
+    run(scenario)
