Look for the client's end before a request goes out on a connection that has just come up

A client that is not read from is looked at every 25 ms, and before each attempt; but an attempt that had to wait for its connection was written as soon as that was up, without a look. A client that had left since the last look had its request sent on all the same; the longer the turn of the loop, the later. The pool now looks once the connection stands, and drops it when the client has gone.

The test holds a dial back, has the client leave, and lets the dial end with no look in between: the old code wrote the request.

--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -274,7 +274,7 @@
 
         attempt.to = self.members[action.server]
         pool, address = self._pool(action.server), attempt.to.address
-        attempt.exchange = pool.start(address, taken.command, time_left, done)
+        attempt.exchange = pool.start(address, taken.command, time_left, done, taken.look)
 
     def _cancel(self, action: api.Cancel) -> None:
         taken = self.requests.get(action.request)
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -45,12 +45,22 @@
 
 
 class Exchange:
-    """One attempt: it ends once, by `done` or by being abandoned."""
+    """One attempt: it ends once, by `done` or by being abandoned.
 
-    def __init__(self, command: Command, time_left: float, done: Callable[[Status, bytes], None]) -> None:
+    `look` abandons it if its client has gone; it is called before the request is written late.
+    """
+
+    def __init__(
+        self,
+        command: Command,
+        time_left: float,
+        done: Callable[[Status, bytes], None],
+        look: Callable[[], object],
+    ) -> None:
         self.command = command
         self.until = asyncio.get_running_loop().time() + time_left
         self.done = done
+        self.look = look
         self.open = True
         self.dial: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
@@ -174,10 +184,15 @@
         self.idle: dict[str, list[Connection]] = {}
 
     def start(
-        self, address: str, command: Command, time_left: float, done: Callable[[Status, bytes], None]
+        self,
+        address: str,
+        command: Command,
+        time_left: float,
+        done: Callable[[Status, bytes], None],
+        look: Callable[[], object] = lambda: None,
     ) -> Exchange:
-        """Start an attempt."""
-        exchange = Exchange(command, time_left, done)
+        """Start an attempt; where a connection has to come up first, `look` is called when it has."""
+        exchange = Exchange(command, time_left, done, look)
         kept = self._take(address)
         if kept is not None:
             kept.begin(exchange)
@@ -203,7 +218,11 @@
             exchange.finish(Status.CONNECT_FAILED)
             return
         exchange.dial = None
-        connection.begin(exchange)
+        exchange.look()  # guards against work for nobody: the client may have left while this came up
+        if exchange.open:
+            connection.begin(exchange)
+        else:
+            connection.drop()
 
     def _take(self, address: str) -> Connection | None:
         """The kept connection used last, of those that have rested and still stand."""
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -183,9 +183,14 @@
         self.silent: set[str] = set()  # addresses whose kept connection has been given up
 
     def start(
-        self, address: str, command: Command, time_left: float, done: Callable[[api.Status, bytes], None]
+        self,
+        address: str,
+        command: Command,
+        time_left: float,
+        done: Callable[[api.Status, bytes], None],
+        look: Callable[[], object] = lambda: None,
     ) -> Exchange:
-        exchange = Modelled(command, time_left, done)
+        exchange = Modelled(command, time_left, done, look)
         state = self.instance.state(address)
         if state == "up":
             self.silent.discard(address)
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
+from brackenwalk.net import clients
 from brackenwalk.net.clients import PIECE, READ_PER_TURN, ClientConnection
 from tests.loopback import Router, command, read, run
-from tests.test_terms_clients import at_once, leave_at_once, turns
+from tests.test_terms_clients import NEVER, Roomy, at_once, leave_at_once, paused, turns
 
 FLOOD = 600  # commands that one client sends at once
 NO_COMMAND = read("flood", info="c=unheard-of,d=900")  # refused at once, so that no answer is waited for
@@ -100,3 +102,34 @@
             assert (await cache.resp())[2] == b"r1"
 
     run(scenario)
+
+
+def test_nothing_is_written_on_a_connection_that_outlasted_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A dial that ended between two looks had its request written, for a client that had left before."""
+    monkeypatch.setattr(clients, "LOOK", NEVER)
+
+    async def scenario() -> None:
+        async with Roomy() as router:
+            client, out = await paused(router)
+            loop, gate = asyncio.get_running_loop(), asyncio.Event()
+            connect = loop.create_connection
+
+            async def held_back(*args: Any) -> Any:
+                await gate.wait()
+                return await connect(*args)
+
+            monkeypatch.setattr(loop, "create_connection", held_back)
+            at_once(out[b"r0"], b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
+            while not router.origins.dials:
+                await asyncio.sleep(0)
+            leave_at_once(client)
+            gate.set()
+            while router.origins.dials:
+                await asyncio.sleep(0)
+            await turns()
+            assert not router.origins.connections and not router.host.router.held
+            assert router.origin.links.empty() or await (await router.origin.link()).ended()
+
+    run(scenario)
