Let a fault in one event or action cost no other request its answer

An exception in the module left the events behind it to whichever event came next, and in one action it lost all actions after that, a final answer among them; the request of the faulty event itself had no answer at all.

Each event and action now stands alone: its fault is logged with a trace, actions that the module had decided on by then are still carried out, and the rest go on. A request that has no answer when its deadline is past is failed by the host, and the module is told that it is over.

The three tests raise one in an action, in the module, and in a timer; the old code failed them.

--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -21,6 +21,7 @@
 # before the client's deadline, which counts from its send: measured, the way takes 1.3 ms at most in each
 # direction and this process 1.4 ms at the 99th percentile; the rest is for a core that others keep busy
 DEADLINE_MARGIN = 0.02
+FAILED = b"-ERR failed\r\n"
 log = logging.getLogger(__name__)
 
 
@@ -95,11 +96,27 @@
         self.handling = True
         try:
             while self.events:
-                for action in self.router.handle(self.clock.now(), self.events.popleft()):
-                    self._carry_out(action)
+                for action in self._decide(self.events.popleft()):
+                    self._carry_out_alone(action)
         finally:
             self.handling = False
 
+    def _decide(self, event: api.Event) -> list[api.Action]:
+        """The module's actions; after a fault in it, those that it had decided on by then."""
+        try:
+            return self.router.handle(self.clock.now(), event)
+        except Exception:
+            # guards all other requests: events that wait behind this one are theirs
+            log.exception("module fault on %s: report it with this trace", type(event).__name__)
+            return list(self.router.out)
+
+    def _carry_out_alone(self, action: api.Action) -> None:
+        """Carry out an action so that a fault costs no other: the answer of another may come next."""
+        try:
+            self._carry_out(action)
+        except Exception:
+            log.exception("fault on %s: report it with this trace", type(action).__name__)
+
     def _carry_out(self, action: api.Action) -> None:
         match action:
             case api.Send():
@@ -107,7 +124,7 @@
             case api.Refuse():
                 self._refuse(action)
             case api.Fail():
-                self._close(action.request, b"-ERR failed\r\n")
+                self._close(action.request, FAILED)
             case api.Cancel():
                 self._cancel(action)
             case api.Close():
@@ -223,6 +240,11 @@
             del self.requests[name]
         for attempt in list(taken.attempts.values()):  # the module may answer, and so end it, on the way
             self._time_out(taken, attempt)
+        if not taken.closed:
+            # guards the client against a fault of ours: it would wait for an answer that nobody owes any more
+            log.error("request %s: no answer by its deadline, failed by the host", name)
+            self._close(name, FAILED)
+            self.post(api.ClientGone(name))
 
     def _close(self, name: str, answer: bytes) -> None:
         """Give a request its one answer."""
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -11,9 +11,10 @@
 
 import pytest
 
+from brackenwalk import interface as api
 from brackenwalk.net import clients
 from brackenwalk.net.clients import PIECE, READ_PER_TURN, ClientConnection
-from tests.loopback import Router, command, read, run
+from tests.loopback import HIT, Router, command, read, run
 from tests.test_terms_clients import NEVER, Roomy, at_once, leave_at_once, paused, turns
 
 FLOOD = 600  # commands that one client sends at once
@@ -133,3 +134,75 @@
             assert router.origin.links.empty() or await (await router.origin.link()).ended()
 
     run(scenario)
+
+
+# A fault of the router's own
+
+
+def test_a_fault_in_one_action_costs_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The final answer that came behind it was lost."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+
+            def handle(now: float, event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.Request):
+                    return [api.Tell(b"x"), api.Fail(event.request)]
+                return []
+
+            def faulty(content: bytes) -> None:
+                raise ValueError(content)
+
+            monkeypatch.setattr(router.host.router, "handle", handle)
+            monkeypatch.setattr(router.host, "tell", faulty)
+            client = await router.client()
+            client.write(read("r1"))
+            assert str(await client.resp()) == "ERR failed"
+
+    run(scenario)
+
+
+def test_a_fault_of_the_module_costs_no_other_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Events that waited behind it were left to the next one, and its own request had no answer."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            handle = router.host.router.handle
+
+            def faulty(now: float, event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.Request) and event.request == "bad":
+                    raise ZeroDivisionError
+                return handle(now, event)
+
+            monkeypatch.setattr(router.host.router, "handle", faulty)
+            client, other = await router.client(), await router.client()
+            client.write(read("bad", info="c=read,t=x,d=300"))
+            other.write(read("good"))
+            cache = await router.cache()
+            assert (await cache.resp())[2] == b"good"
+            cache.write(HIT)
+            assert await other.resp() == b"value"
+            assert str(await client.resp()) == "ERR failed"
+            assert not router.host.router.held
+
+    run(scenario)
+
+
+def test_a_timer_that_faults_leaves_the_next_one_its_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            seen: list[str] = []
+
+            def handle(now: float, event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.TimerFired):
+                    seen.append(event.token)
+                    if event.token == "first":
+                        raise KeyError(event.token)
+                return []
+
+            monkeypatch.setattr(router.host.router, "handle", handle)
+            router.host.events.append(api.TimerFired("first"))
+            router.host.post(api.TimerFired("second"))
+            assert seen == ["first", "second"]
+
+    run(scenario)
