Refuse requests of no known class before anything is learned from them

They were never sent anywhere, but were counted as demand, told to all peers, and filled the memory of what is hot in place of keys that are asked for.

They are refused at once, and nothing else is done for them.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -245,8 +245,10 @@
         return self.now - server.quiet_since > SILENCE * self.shortest_aim
 
     def _on_request(self, request: api.Request) -> None:
-        unknown = api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
-        kind = self.settings.classes.get(request.request_class, unknown)
+        kind = self.settings.classes.get(request.request_class)
+        if kind is None:  # counted as demand, what is never sent would push aside what is
+            self.out.append(api.Refuse(request.request))
+            return
         until = min(self.end_at, self.now + min(request.time_left - self.settings.tick, kind.aim))
         position = ring_hash(request.request if request.key is None else request.key)[0]
         to_origin = self.settings.aside and request.write
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1054,3 +1054,15 @@
         while f"r{n}" in d.open:
             d.end(f"r{n}", api.Status.CONNECT_FAILED)
     assert d.request("last", key="another") is not None
+
+
+def test_requests_of_no_class_teach_nothing() -> None:
+    """They are never sent: counted, they would push aside the keys that are, and be told to all peers."""
+    d = Driver(settings(peers=True, siblings=4))
+    d.list(*fleet("a", "b"))
+    for i in range(1000):
+        d.now += 0.01
+        request = api.Request(f"x{i}", "unheard-of", 1.0, key="flood")
+        assert d.router.handle(d.now, request) == [api.Refuse(request.request)]
+    assert not d.router.held and d.router.taken == 0
+    assert not d.router.demand.long.times and not d.router.demand.untold
