Draw deployments from a seed, to play what no given site has

A fault may show only under settings that no given site has. 'fleetlab sites FILE' writes variants of a site file: discovery asked or pushed, through or aside, reports, weights, peers, cancelling, copies, attempts, grace, processor share, network, deadlines, effects, groups, windows, idle time, streams, and the words for classes, kinds and zones.

--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -1,4 +1,4 @@
-"""The commands: run, sweep, report and check.
+"""The commands: run, sweep, report, check and sites.
 
 They end with 0, 1 where a play broke off by a failure, 2 for a file or option that can't be used, 3 where
 bounds refuse it, and 130 after Ctrl-C.
@@ -21,6 +21,7 @@
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
+from fleetlab.deployments import DeploymentError, write_variants
 from fleetlab.experiment import Experiment, ExperimentError, at_point, points, read_experiment
 from fleetlab.plan import Message
 from fleetlab.results import Result, write_result
@@ -47,7 +48,7 @@
     """Errors as one line and an exit code."""
     try:
         yield
-    except ExperimentError as e:
+    except (ExperimentError, DeploymentError) as e:
         click.echo(f"fleetlab: {e}", err=True)
         sys.exit(BAD_FILE)
     except Refused as e:
@@ -190,6 +191,24 @@
             refuse_beyond_bounds(each)
 
 
+@main.command()
+@FILE
+@click.option("--seed", type=int, default=1, show_default=True, help="Of the first variant.")
+@click.option("--count", type=click.IntRange(1), default=12, show_default=True, help="How many variants.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    default=Path("build/sites"),
+    show_default=True,
+    help="Where the site files go.",
+)
+def sites(file: Path, seed: int, count: int, out: Path) -> None:
+    """Draw deployments: variants of the site FILE, one for each seed, in what operators may choose."""
+    with _exit_codes():
+        for path in write_variants(file, range(seed, seed + count), out):
+            click.echo(str(path))
+
+
 @main.command(hidden=True)
 @FILE
 @click.argument("seed", type=int)
