--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -104,20 +104,42 @@
     run(scenario)
 
 
-def test_more_than_an_answer_ends_the_connection() -> None:
-    """The rest would be taken for the answer to the next request, which would get another's value."""
+@pytest.mark.parametrize(
+    "more", [HIT, MISS, HIT[:1], HIT[:9], b"\r\n", b"-BUSY\r\n", b"*9\r\n", b"garbage", b"\x00"]
+)
+def test_more_than_an_answer_ends_the_connection(more: bytes) -> None:
+    """The rest would be taken for the answer to the next request, which would get another's value.
+
+    The answer before it is whole, and is served whatever follows.
+    """
 
     async def scenario() -> None:
         async with Peer() as peer:
             ends = caches()
             link = await ends.begun(peer)
-            link.write(HIT + HIT)
+            link.write(HIT + more)
             assert await ends.end() == (Status.OK, b"value")
             assert await link.ended() and not ends.pool.idle
 
     run(scenario)
 
 
+@pytest.mark.parametrize("more", [HIT, HIT[:1], b"garbage", b"\x00"])
+def test_bytes_that_come_while_an_answered_connection_rests_end_it(more: bytes) -> None:
+    """A second answer comes a few milliseconds after the first."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            link = await ends.begun(peer)
+            link.write(HIT)
+            assert await ends.end() == (Status.OK, b"value")
+            link.write(more)
+            assert await link.ended() and not ends.pool.idle and not ends.pool.connections
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("how", ["close", "reset"])
 def test_a_break_after_the_last_byte_may_have_run(how: str) -> None:
     async def scenario() -> None:
