--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -14,7 +14,7 @@
 from brackenwalk import interface as api
 from brackenwalk.net import listener
 from brackenwalk.net.clients import PIECE, READ_PER_TURN, ClientConnection
-from tests.loopback import HIT, Router, command, read, run
+from tests.loopback import HIT, Link, Router, command, read, run
 from tests.test_terms_clients import NEVER, Roomy, at_once, leave_at_once, paused, turns
 
 FLOOD = 600  # commands that one client sends at once
@@ -35,6 +35,16 @@
         monkeypatch.setattr(ClientConnection, "_take", noted)
 
 
+async def flooded(router: Router, takes: Takes) -> Link:
+    """A client that has sent a flood, of which the first commands have just been taken."""
+    flooding = await router.client()
+    await turns()
+    at_once(flooding, NO_COMMAND * FLOOD)
+    while not takes.order:
+        await asyncio.sleep(0)
+    return flooding
+
+
 def test_a_flood_from_one_client_does_not_hold_up_another(monkeypatch: pytest.MonkeyPatch) -> None:
     """All that had come was taken in one turn: what others had sent, and all that was due, was late by it."""
 
@@ -56,13 +66,8 @@
 def test_no_more_of_a_flood_is_taken_once_its_client_has_left(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         async with Router() as router:
-            flooding = await router.client()
-            await turns()
             takes = Takes(monkeypatch)
-            at_once(flooding, NO_COMMAND * FLOOD)
-            while not takes.order:
-                await asyncio.sleep(0)
-            leave_at_once(flooding)
+            leave_at_once(await flooded(router, takes))
             await turns()
             assert len(takes.order) <= READ_PER_TURN and not router.listener.connections
 
@@ -74,17 +79,14 @@
 
     async def scenario() -> None:
         async with Router() as router:
-            flooding = await router.client()
-            await turns()
             takes = Takes(monkeypatch)
-            at_once(flooding, NO_COMMAND * FLOOD)
-            while not takes.order:
-                await asyncio.sleep(0)
+            flooding = await flooded(router, takes)
             assert len(takes.order) <= READ_PER_TURN
             while len(takes.order) < FLOOD:
                 before = len(takes.order)
                 await asyncio.sleep(0)
                 assert len(takes.order) - before <= READ_PER_TURN
+            flooding.close()
 
     run(scenario)
 
