--- a/review/standins.py
+++ b/review/standins.py
@@ -513,6 +513,10 @@
     record(f"TROUBLE={int(trouble)}")
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for signum in (signal.SIGTERM, signal.SIGINT):  # a play that is ended takes its router with it
+            asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
         watch = asyncio.create_task(watch_own_pace(record))
         # Stand-ins that still serve when the play ends are cancelled; the loop would report each of them.
         asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
@@ -524,7 +528,7 @@
 
     try:
         broken = asyncio.run(bounded())
-    except Exception as e:  # whatever keeps the case from running
+    except (Exception, asyncio.CancelledError) as e:  # whatever keeps the case from running
         record(f"the case could not run: {e!r}")
         print(f"could not run: {e!r}")
         return COULD_NOT_RUN
