Review stand-ins: a request is sent again on a new connection only, with its own time

Also: a process that ends resets its connections, clients that give up close theirs, servers close idle ones.

--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -26,6 +27,7 @@
 GRACE_S = 0.5  # after a request's time, in which an answer earns nothing but is no loss (STANDING)
 SLACK_S = 0.05  # by which each time limit grows on sockets (PROTOCOL)
 COULD_NOT_RUN = 2
+IDLE_S = 30.0  # after which servers close an idle connection (connIdle of bhorti-portal)
 MOST_HELD_UP_S = 0.25  # of the stand-ins' own event loop; it is less than GRACE_S
 
 
@@ -65,6 +67,14 @@
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection with a reset, as the end of a process does."""
+    linger = struct.pack("ii", 1, 0)
+    with suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def read_command(reader: asyncio.StreamReader) -> list[bytes]:
     """Read one command. Raises `IncompleteReadError` at the end of the connection."""
     count = int((await reader.readuntil(b"\r\n"))[1:-2])
@@ -90,7 +100,7 @@
     """A cache server that stores every key: it answers reads with a hit after `work` seconds."""
 
     def __init__(self, name: str, record: Record, work: float = 0.01) -> None:
-        self.name, self.record, self.work = name, record, work
+        self.name, self.record, self.work, self.idle_s = name, record, work, IDLE_S
         self.received: list[tuple[float, str]] = []  # time and request id of each command
         self.address = ""
 
@@ -105,13 +115,14 @@
         """End the process: its connections reset and new ones are refused."""
         self.server.close()
         for writer in self.writers:
-            writer.transport.abort()
+            reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
-        with suppress(asyncio.IncompleteReadError, ConnectionError):
+        with suppress(asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             while True:
-                parts = await read_command(reader)
+                async with asyncio.timeout(self.idle_s):
+                    parts = await read_command(reader)
                 if parts[0] not in (b"C.GET", b"C.SET"):
                     writer.write(b"+PONG\r\n" if parts[0] == b"PING" else b"-ERR unknown\r\n")
                     continue
@@ -128,7 +139,7 @@
     """The origin: answers reads with a value and writes with a receipt after `work` seconds."""
 
     def __init__(self, record: Record, work: float = 0.05) -> None:
-        self.record, self.work = record, work
+        self.record, self.work, self.idle_s = record, work, IDLE_S
         self.runs: dict[str, list[float]] = {}  # times of the runs, by request id
 
     async def start(self) -> None:
@@ -137,9 +148,10 @@
         self.address = address_of(self.server)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(asyncio.IncompleteReadError, ConnectionError):
+        with suppress(asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             while True:
-                method, target, headers = await read_http_head(reader)
+                async with asyncio.timeout(self.idle_s):
+                    method, target, headers = await read_http_head(reader)
                 await reader.readexactly(int(headers.get("content-length", "0")))
                 request_id = headers.get("request-id", "")
                 self.runs.setdefault(request_id, []).append(time.monotonic())
@@ -192,7 +204,7 @@
     def close_connections(self) -> None:
         """Close the connections that are open."""
         for writer in self.writers:
-            writer.close()
+            reset(writer)
 
     def stop(self) -> None:
         """Go down: open connections end and new ones are refused."""
@@ -442,6 +454,7 @@
         self.record, self.platform = record, platform
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
         self.count = self.served = self.failed = self.shut = 0
+        self.open_now = self.most_open = 0  # connections
         self.lost: list[str] = []
         self.lost_by_time: Counter[int] = Counter()  # by the time of the request in ms
 
@@ -461,27 +474,34 @@
         if "k" in more:
             info += b",k=" + more["k"]
         parts = [verb, key, request_id.encode(), info] + ([more["value"]] if "value" in more else [])
-        sent_at = time.monotonic()
-        answer, shut = b"", False
-        try:
-            async with asyncio.timeout(deadline_ms / 1000 + GRACE_S + SLACK_S):
-                for _ in range(2):
-                    fresh = not (keep and self.idle)
-                    reader, writer = await self.platform.connect() if fresh else self.idle.pop()
-                    sent_at = time.monotonic()
-                    self.record(f"client sends {verb.decode()} {request_id} {info.decode()}")
-                    writer.write(pack(*parts))
+        sent_at, answer, shut = time.monotonic(), b"", False
+        limit = deadline_ms / 1000 + GRACE_S + SLACK_S
+        for again in (False, True):
+            fresh = again or not (keep and self.idle)
+            writer = None
+            try:
+                reader, writer = await self.platform.connect() if fresh else self.idle.pop()
+                self.open_now += fresh
+                self.most_open = max(self.most_open, self.open_now)
+                sent_at = time.monotonic()
+                self.record(f"client sends {verb.decode()} {request_id} {info.decode()}")
+                writer.write(pack(*parts))
+                async with asyncio.timeout(limit):
                     answer = await read_answer(reader)
-                    if answer and keep:
-                        self.idle.append((reader, writer))
-                    else:
-                        writer.close()
-                    shut = fresh and not answer
-                    if answer or fresh:
-                        break
-        except OSError as e:  # also for a time-out
-            shut = not isinstance(e, TimeoutError)
-            self.record(f"client of {request_id}: {e!r}")
+                shut = fresh and not answer
+            except TimeoutError:
+                self.record(f"client of {request_id}: neither an answer nor a close, it gives up")
+                fresh = True  # no second try
+            except OSError as e:
+                shut = fresh
+                self.record(f"client of {request_id}: {e!r}")
+            if answer and keep and writer is not None:
+                self.idle.append((reader, writer))
+            elif writer is not None:
+                writer.close()
+                self.open_now -= 1
+            if answer or fresh:
+                break
         took = time.monotonic() - sent_at
         self.record(f"client gets {request_id} after {took:.3f} s: {answer[:40]!r}")
         if shut:
