Log what a router holds every 10 s: requests, bytes of clients, connections, counts

Nothing told where a router's memory went: a table that grows, buffers of clients that do not read, parsers, and counts all look the same from outside. One line of name=value pairs now counts each kind by itself.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -21,6 +21,7 @@
 from brackenwalk.net.peers import PeerSocket
 from brackenwalk.net.pool import Pool, parse_address
 from brackenwalk.net.servers import CacheConnection
+from brackenwalk.net.usage import UsageReport
 from brackenwalk.settings import read_number, read_section, read_settings
 
 ACCEPT_GRACE_S = 0.5  # after SIGTERM, new connections still arrive for 0.2 to 0.4 s
@@ -157,11 +158,14 @@
     except OSError as e:
         raise ConfigError(f"listen: {e}") from e
     logging.info("listening on %s:%d", *listener.socket.getsockname())
+    usage_report = UsageReport(host, listener, (cache_pool, origin_pool))
+    usage_report.start()
     await terminated.wait()
     logging.info("shutting down: accepting connections for another %g s", ACCEPT_GRACE_S)
     deadline = min(MAX_COUNTED_DEADLINE_S, max(c.client_timeout for c in settings.classes.values()))
     host.begin_shutdown(deadline + RESPONSE_GRACE_S)
     await listener.stop(ACCEPT_GRACE_S, deadline + EXIT_GRACE_S - ACCEPT_GRACE_S)
+    usage_report.close()
     discovery.close()
     if peers is not None:
         demand = host.router.demand
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -260,6 +260,11 @@
         """Return whether responses are still in the write buffer, as the client has not read them."""
         return self.transport.get_write_buffer_size() > 0
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the client has not read or that wait for earlier ones."""
+        waiting = sum(len(slot.response or b"") for slot in self.slots)
+        return waiting + self.transport.get_write_buffer_size()
+
     def close_gracefully(self) -> None:
         """Half-close the connection once all is written, then discard input until the client closes it.
 
