Drop requests from the table once they have ended, and keep their ids alone

Callers saw: bad clients that write 40 long values of an unknown class and leave, one a second, had the router killed at 192 MB within a minute, with all that it held. Cause: an answered request stayed in the table, value included, until the deadline that its client had written (up to 600 s). Now a request leaves the table when it is closed and its attempts have ended, its command is let go when it is closed, and an attempt lets go of the command once it is encoded. The table held a second duty: a request that comes again under an id must not run after the first one's refusal, or twice. Ids of known classes are kept for that until the deadline, 16,384 at most. An entry goes only when no event is queued, as one queued before the close may still lead to an attempt, which needs the entry for its outcome.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -15,11 +15,12 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net.discovery import DiscoveryClient, ListError, read_list
-from brackenwalk.net.host import Host, Member
+from brackenwalk.net.host import Host
 from brackenwalk.net.listener import Listener
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.peers import PeerSocket
 from brackenwalk.net.pool import Pool, parse_address
+from brackenwalk.net.requests import Member
 from brackenwalk.net.servers import CacheConnection
 from brackenwalk.net.usage import UsageReport
 from brackenwalk.settings import read_number, read_section, read_settings
--- a/brackenwalk/net/command.py
+++ b/brackenwalk/net/command.py
@@ -35,6 +35,11 @@
         """Whether the command writes a value."""
         return self.value is not None
 
+    @property
+    def size(self) -> int:
+        """The bytes of the key and the value."""
+        return len(self.key) + len(self.value or b"")
+
     def encode_info(self, time_left: float) -> bytes:
         """Return the names and values in their order, with `d` set to `time_left` (in seconds) as ms."""
         fields = self.info | {"d": str(max(1, int(time_left * 1000)))}
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -12,9 +12,9 @@
 import orjson
 
 from brackenwalk import interface as api
-from brackenwalk.net.host import Member
 from brackenwalk.net.http import HttpClient, HttpError
 from brackenwalk.net.pool import parse_address
+from brackenwalk.net.requests import Member
 
 STATES = {
     "in_service": api.ServerState.READY,
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -12,11 +12,11 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from brackenwalk import interface as api
 from brackenwalk.net.command import Command
-from brackenwalk.net.pool import Exchange, Pool
+from brackenwalk.net.pool import Pool
+from brackenwalk.net.requests import Attempt, Member, RecentIds, TrackedRequest
 from brackenwalk.policy import Router
 
 # Time by which a request's deadline here precedes the client's, which counts from when the client sends.
@@ -24,6 +24,7 @@
 # covers delays on a core that other processes keep busy.
 DEADLINE_MARGIN_S = 0.02
 ERR_FAILED = b"-ERR failed\r\n"
+MAX_RECENT_IDS = 16_384
 log = logging.getLogger(__name__)
 
 
@@ -38,40 +39,6 @@
         return self.offset + time.monotonic()
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send of a request, while it is in flight."""
-
-    number: int
-    sent_at: float
-    member: Member | None = None  # the server as it was listed at the time of the send
-    exchange: Exchange | None = None
-    timer: asyncio.TimerHandle | None = None
-
-
-@dataclass(slots=True, eq=False)
-class TrackedRequest:
-    """A request in the table, which stays there until it is closed and its deadline has passed."""
-
-    command: Command
-    deadline: float
-    respond: Callable[[bytes], None]
-    check_client: Callable[[], object]  # detects a client that has disconnected
-    attempt_count: int = 0  # attempts started, including finished ones
-    closed: bool = False  # answered, or its client has disconnected
-    deadline_passed: bool = False
-    timer: asyncio.TimerHandle | None = None  # fires at the deadline
-    attempts: dict[int, Attempt] = field(default_factory=dict)  # in flight, by number
-
-
-@dataclass(slots=True, frozen=True)
-class Member:
-    """A cache server or origin of the router's current server list."""
-
-    entry: api.ServerEntry
-    address: str
-
-
 class Host:
     """One router: the decision module with its requests, attempts and server list."""
 
@@ -92,6 +59,8 @@
         self.router = Router(settings, seed, self.clock.now())
         self.members: dict[str, Member] = {}
         self.requests: dict[str, TrackedRequest] = {}
+        self.closed: list[TrackedRequest] = []  # closed, to be dropped once the module has been told
+        self.recent_ids = RecentIds(MAX_RECENT_IDS)
         self.shutdown_deadline = math.inf  # upper bound of the deadlines of all requests
         self.events: deque[api.Event] = deque()
         self.handling = False
@@ -108,6 +77,7 @@
                     self._execute_isolated(action)
         finally:
             self.handling = False
+        self._drop_closed()
 
     def _decide(self, event: api.Event) -> list[api.Action]:
         """Return the module's actions or, if the module raises, those that it had decided on by then."""
@@ -212,23 +182,26 @@
     ) -> str | None:
         """Accept a request and call `respond` once with its response, unless the client disconnects first.
 
-        Return the request's id, or None if a request with this id is still in the table. Call
+        Return the request's id, or None if the time of another request with this id is not over. Call
         `check_client` before each attempt; it calls `on_client_gone` if the client has just disconnected.
         """
         decoded_id = command.request_id.decode()
+        now = self.clock.now()
         # Two requests under one id would get each other's responses.
-        if decoded_id in self.requests:
+        if decoded_id in self.requests or self.recent_ids.contains(decoded_id, now):
             return None
-        now = self.clock.now()
         time_left = max(
             0.0, min(command.deadline_ms / 1000 - DEADLINE_MARGIN_S, self.shutdown_deadline - now)
         )
-        tracked = self.requests[decoded_id] = TrackedRequest(command, now + time_left, respond, check_client)
+        class_name = command.info.get("c", "")
+        tracked = self.requests[decoded_id] = TrackedRequest(
+            decoded_id, class_name, command, now + time_left, respond, check_client
+        )
         tracked.timer = asyncio.get_running_loop().call_later(time_left, self._on_deadline, decoded_id)
         cost_hint = command.info.get("h", "")
         request = api.Request(
             decoded_id,
-            command.info.get("c", ""),
+            class_name,
             time_left,
             command.key.decode("latin-1"),
             int(cost_hint) / 1e6 if cost_hint.isdigit() else None,
@@ -241,7 +214,7 @@
         """Close a request whose client has disconnected."""
         tracked = self.requests.get(request_id)
         if tracked is not None and not tracked.closed:
-            self._mark_closed(tracked, request_id)
+            self._mark_closed(tracked)
             self.post(api.ClientGone(request_id))
 
     def begin_shutdown(self, time_left: float) -> None:
@@ -257,11 +230,9 @@
         self.post(api.Shutdown(time_left))
 
     def _on_deadline(self, request_id: str) -> None:
-        """Time out the attempts in flight, and drop a closed request from the table."""
+        """Time out the attempts in flight, which leads to the response of an open request."""
         tracked = self.requests[request_id]
         tracked.deadline_passed = True
-        if tracked.closed:
-            del self.requests[request_id]
         for attempt in list(tracked.attempts.values()):  # the module may respond, and so close it, in between
             self._time_out(tracked, attempt)
         if not tracked.closed:
@@ -275,18 +246,36 @@
         """Send the response to a request, unless the request is closed."""
         tracked = self.requests.get(request_id)
         if tracked is not None and not tracked.closed:
-            self._mark_closed(tracked, request_id)
+            self._mark_closed(tracked)
             tracked.respond(response)
 
-    def _mark_closed(self, tracked: TrackedRequest, request_id: str) -> None:
-        """Close a request, which stays in the table until its deadline for outcomes still to come."""
+    def _mark_closed(self, tracked: TrackedRequest) -> None:
+        """Close a request, which stays in the table for the outcomes of attempts in flight."""
         tracked.closed = True
+        tracked.command = None
+        self.closed.append(tracked)
         for attempt in list(tracked.attempts.values()):
             # An unsent attempt needs no cancelling at its server, and nobody waits for its result.
             if attempt.exchange is not None and attempt.exchange.unsent():
                 self._abort_attempt(tracked, attempt, api.Status.UNSENT)
-        if tracked.deadline_passed:
-            del self.requests[request_id]
+
+    def _drop_closed(self) -> None:
+        """Drop closed requests without attempts in flight from the table, and keep their ids.
+
+        Called when no event is queued: an event queued before the one that closed the request may lead to an
+        attempt, which needs its entry to get an outcome.
+        """
+        closed, self.closed = self.closed, []
+        now = self.clock.now()
+        for tracked in closed:
+            if tracked.attempts or self.requests.get(tracked.id) is not tracked:
+                continue
+            del self.requests[tracked.id]
+            if tracked.timer is not None:
+                tracked.timer.cancel()
+            # A request of an unknown class can't have run: nothing is wrong with its id.
+            if tracked.class_name in self.settings.classes:
+                self.recent_ids.add(tracked.id, tracked.deadline, now)
 
     def _refuse(self, action: api.Refuse) -> None:
         """Respond with a refusal, and with a pause in ms before a retry if the module gives one."""
@@ -298,7 +287,7 @@
     def _send(self, action: api.Send) -> None:
         tracked = self.requests.get(action.request_id)
         if tracked is None:
-            log.error("module sends request %s, which has been dropped after its deadline", action.request_id)
+            log.error("module sends request %s, which has been closed: please report", action.request_id)
             return
         now = self.clock.now()
         attempt = Attempt(tracked.attempt_count, now)
@@ -309,7 +298,7 @@
         if not tracked.closed:
             tracked.check_client()
         unneeded = tracked.closed or tracked.deadline_passed or attempt.number >= self.settings.max_attempts
-        if unneeded or action.server not in self.members:
+        if unneeded or tracked.command is None or action.server not in self.members:
             self._finish(tracked, attempt, api.Status.UNSENT if unneeded else api.Status.CONNECT_FAILED)
             return
         time_left = tracked.deadline - now
@@ -347,8 +336,9 @@
             return
         if attempt.timer is not None:
             attempt.timer.cancel()
-        decoded_id = tracked.command.request_id.decode()
         if status is api.Status.OK:
-            self._respond(decoded_id, b"$%d\r\n%b\r\n" % (len(value), value))
+            self._respond(tracked.id, b"$%d\r\n%b\r\n" % (len(value), value))
+        if tracked.closed:
+            self.closed.append(tracked)
         latency = self.clock.now() - attempt.sent_at
-        self.post(api.Outcome(decoded_id, attempt.number, status, tracked.closed, latency))
+        self.post(api.Outcome(tracked.id, attempt.number, status, tracked.closed, latency))
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -58,7 +58,7 @@
         on_done: Callable[[Status, bytes], None],
         check_client: Callable[[], object],
     ) -> None:
-        self.command = command
+        self.command: Command | None = command  # None once encoded: it is written once, and may be long
         self.deadline = asyncio.get_running_loop().time() + time_left
         self.on_done = on_done
         self.check_client = check_client
@@ -130,10 +130,12 @@
         exchange.connection = self
         self.exchange = exchange
         self.fully_written = False
+        command, exchange.command = exchange.command, None
+        assert command is not None
         try:
             # The dial has taken part of the time that the attempt had at its start.
             time_left = exchange.deadline - asyncio.get_running_loop().time()
-            data = self.encode(exchange.command, time_left)
+            data = self.encode(command, time_left)
         except Exception:
             # An attempt whose request cannot be encoded would otherwise have no outcome. Closing the
             # connection ends it at once.
--- a/brackenwalk/net/usage.py
+++ b/brackenwalk/net/usage.py
@@ -21,8 +21,9 @@
     """Numbers and bytes of what a router holds at one moment."""
 
     open_requests: int  # without a final answer
-    answered_requests: int  # in the table until their attempts have ended or their deadline has passed
-    request_bytes: int  # keys and values of all requests in the table
+    answered_requests: int  # in the table until their attempts have ended
+    request_bytes: int  # keys and values of the open requests
+    recent_ids: int  # of requests that have ended
     attempts: int  # in flight
     clients: int  # connections, including lingering ones
     input_bytes: int  # received from clients and not processed
@@ -45,7 +46,8 @@
     return Usage(
         open_requests=sum(not t.closed for t in tracked),
         answered_requests=sum(t.closed for t in tracked),
-        request_bytes=sum(len(t.command.key) + len(t.command.value or b"") for t in tracked),
+        request_bytes=sum(t.command.size for t in tracked if t.command is not None),
+        recent_ids=len(host.recent_ids),
         attempts=sum(len(t.attempts) for t in tracked),
         clients=len(clients),
         input_bytes=sum(c.incomplete_bytes + len(c.unparsed) for c in clients),
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -28,11 +28,12 @@
 from brackenwalk.net import discovery as real_discovery
 from brackenwalk.net.command import Command
 from brackenwalk.net.discovery import DiscoveryClient, read_list
-from brackenwalk.net.host import Host, Member
+from brackenwalk.net.host import Host
 from brackenwalk.net.http import HttpClient, Response
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.peers import PeerSocket
 from brackenwalk.net.pool import Exchange, Pool, parse_address
+from brackenwalk.net.requests import Member
 from brackenwalk.policy import Router
 from brackenwalk.settings import read_settings
 from fleetlab.model import event_kind, shared_rings, zipf_weights
@@ -236,7 +237,8 @@
     def _finish_attempt(self, address: str, exchange: ModelExchange) -> None:
         if self.instance.server_state(address) != "up":
             return  # the attempt ends when the host's timer for it fires
-        hit = exchange.command.write or self.instance.draw_hit(address)
+        command = exchange.command
+        hit = (command is not None and command.write) or self.instance.draw_hit(address)
         exchange.finish(*((api.Status.OK, VALUE) if hit else (api.Status.MISS, b"")))
 
     def close_idle(self, address: str) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,10 +12,11 @@
 import hiredis
 
 from brackenwalk import interface as api
-from brackenwalk.net.host import Host, Member
+from brackenwalk.net.host import Host
 from brackenwalk.net.listener import Listener
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Pool
+from brackenwalk.net.requests import Member
 from brackenwalk.net.servers import CacheConnection
 
 TIMEOUT_S = 10.0  # after which a test that waits for an event fails
@@ -184,6 +185,10 @@
         for server in (*self.caches.values(), self.origin):
             await server.__aexit__(kind, error, trace)
 
+    def accepted_ids(self) -> set[str]:
+        """Return the ids of all requests that the host has accepted and whose time is not over."""
+        return {*self.host.requests, *self.host.recent_ids.deadlines}
+
     async def client(self) -> Link:
         """Connect a new client."""
         return Link(*await asyncio.open_connection(*self.listener.socket.getsockname()))
--- /dev/null
+++ b/tests/test_held_requests.py
@@ -0,0 +1,121 @@
+"""Limits on what requests hold: their commands, ids and time in the table."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from dataclasses import replace
+
+import pytest
+
+from brackenwalk import interface as api
+from brackenwalk.net import host as hosts
+from brackenwalk.net.command import MAX_VALUE_BYTES, Command
+from brackenwalk.net.requests import RecentIds
+from brackenwalk.net.usage import measure
+from tests.loopback import HIT, SETTINGS, RouterHarness, command, http, read, run
+from tests.test_net_host import error
+
+LONG_VALUE = bytes(MAX_VALUE_BYTES)
+FLOOD = 40  # commands that a faulty client sends at once
+SEVERAL = 10  # such clients, one after another
+
+
+def live_commands() -> int:
+    """Return how many commands the process holds, wherever it holds them."""
+    gc.collect()
+    return sum(isinstance(o, Command) for o in gc.get_objects())
+
+
+def long_write(request_id: str, class_name: str = "book") -> bytes:
+    return command("C.SET", "k", request_id, f"c={class_name},d=600000", LONG_VALUE)
+
+
+def test_refused_writes_of_an_unknown_class_are_not_held() -> None:
+    """Guards against: values of refused writes stay until the client's deadline, and the router is killed."""
+
+    async def scenario() -> None:
+        async with RouterHarness() as router:
+            for number in range(SEVERAL):
+                client = await router.client()
+                for i in range(FLOOD):
+                    client.write(long_write(f"{number}-{i}", "unheard-of"))
+                for _ in range(FLOOD):
+                    assert error(await client.resp()) == "BUSY"
+                client.close()
+            usage = measure(router.host, router.listener, (router.cache_pool, router.origin_pool))
+            assert (usage.answered_requests, usage.request_bytes) == (0, 0)
+            assert live_commands() == 0 and not router.host.requests and not len(router.host.recent_ids)
+
+    run(scenario)
+
+
+def test_answered_write_is_not_held_until_its_deadline() -> None:
+    """Guards against: the value of a served write stays for as long as its client said it would wait."""
+
+    async def scenario() -> None:
+        async with RouterHarness() as router:
+            client = await router.client()
+            client.write(long_write("w1"))
+            origin = await router.origin.link()
+            await origin.http()
+            origin.write(http("200 OK", b"receipt"))
+            assert await client.resp() == b"receipt"
+            assert live_commands() == 0 and not router.host.requests
+
+    run(scenario)
+
+
+def test_sent_write_whose_client_has_gone_is_not_held() -> None:
+    """Guards against: without cancelling, the value stays until the deadline though nobody sends it again."""
+
+    async def scenario() -> None:
+        async with RouterHarness(replace(SETTINGS, may_cancel=False)) as router:
+            client = await router.client()
+            client.write(long_write("w1"))
+            await (await router.origin.link()).http()
+            client.close()
+            while router.host.router.pending_requests:
+                await asyncio.sleep(0)
+            (tracked,) = router.host.requests.values()
+            assert tracked.attempts  # its outcome may still come
+            assert live_commands() == 0
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("first", ["served", "refused"])
+def test_id_of_a_closed_request_is_rejected_until_its_deadline(first: str) -> None:
+    """Guards against: a request that comes again under its id runs after its refusal, or a second time."""
+
+    async def scenario() -> None:
+        async with RouterHarness() as router:
+            if first == "refused":
+                router.list()  # no cache server, so that reads wait
+                client = await router.client()
+                client.write(read("r1", info="c=read,t=x,d=60000"))
+                while not (pending := list(router.host.router.pending_requests.values())):
+                    await asyncio.sleep(0)
+                router.host._execute(api.Refuse(pending[0].request.id))
+                router.host.post(api.ClientGone("r1"))
+                assert error(await client.resp()).startswith("BUSY")
+            else:
+                client, cache = await router.start_read()
+                cache.write(HIT)
+                assert await client.resp() == b"value"
+            client.write(read("r1"))
+            assert "in use" in error(await client.resp())
+
+    run(scenario)
+
+
+def test_recent_ids_are_bounded_in_number_and_time() -> None:
+    """Guards against: ids pile up in a flood, or after it."""
+    recent = RecentIds(capacity=3)
+    for number in range(5):
+        recent.add(f"r{number}", deadline=10.0 + number, now=1.0)
+    assert list(recent.deadlines) == ["r2", "r3", "r4"]
+    assert recent.contains("r4", now=13.9) and not recent.contains("r4", now=14.0)
+    recent.add("r5", deadline=20.0, now=13.0)
+    assert list(recent.deadlines) == ["r4", "r5"]  # the time of the others is over
+    assert hosts.MAX_RECENT_IDS >= 1024
--- a/tests/test_lab_standins.py
+++ b/tests/test_lab_standins.py
@@ -24,10 +24,10 @@
 from brackenwalk.interface import Status
 from brackenwalk.net.command import read_command
 from brackenwalk.net.discovery import DiscoveryClient, read_list
-from brackenwalk.net.host import Member
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.peers import PeerSocket
 from brackenwalk.net.pool import Connection, Pool
+from brackenwalk.net.requests import Member
 from brackenwalk.net.servers import CacheConnection
 from fleetlab import experiment as lab
 from fleetlab.plan import (
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -11,7 +11,7 @@
 from brackenwalk import interface as api
 from brackenwalk.net import discovery as discoveries
 from brackenwalk.net.discovery import DiscoveryClient, ListError, read_list
-from brackenwalk.net.host import Member
+from brackenwalk.net.requests import Member
 from tests.loopback import Link, ScriptedServer, http, run
 
 ENTRY: dict[str, Any] = {
