Hold a request no longer than clients of its class wait

Cause: d of up to 600,000 ms was taken as written, so that a request and its attempt at a server that hangs were held for ten minutes, with a server's connection. The settings say how long clients of each class wait over all of their tries (giveUp); no sound request asks for more. Its test fails on the commit before: the class waits 0.2 s, the request's deadline is 600 s away.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -163,7 +163,7 @@
     usage_report.start()
     await terminated.wait()
     logging.info("shutting down: accepting connections for another %g s", ACCEPT_GRACE_S)
-    deadline = min(MAX_COUNTED_DEADLINE_S, max(c.client_timeout for c in settings.classes.values()))
+    deadline = min(MAX_COUNTED_DEADLINE_S, settings.longest_client_timeout)
     host.begin_shutdown(deadline + RESPONSE_GRACE_S)
     await listener.stop(ACCEPT_GRACE_S, deadline + EXIT_GRACE_S - ACCEPT_GRACE_S)
     usage_report.close()
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -121,6 +121,11 @@
         """The shortest aim of any request class, in seconds."""
         return min(c.aim for c in self.classes.values())
 
+    @property
+    def longest_client_timeout(self) -> float:
+        """The longest time that clients of any request class wait, in seconds."""
+        return max(c.client_timeout for c in self.classes.values())
+
 
 @dataclass(slots=True, frozen=True)
 class ServerEntry:
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -190,10 +190,9 @@
         # Two requests under one id would get each other's responses.
         if decoded_id in self.requests or self.recent_ids.contains(decoded_id, now):
             return None
-        time_left = max(
-            0.0, min(command.deadline_ms / 1000 - DEADLINE_MARGIN_S, self.shutdown_deadline - now)
-        )
         class_name = command.info.get("c", "")
+        client_wait = min(command.deadline_ms / 1000, self._client_timeout(class_name))
+        time_left = max(0.0, min(client_wait - DEADLINE_MARGIN_S, self.shutdown_deadline - now))
         tracked = self.requests[decoded_id] = TrackedRequest(
             decoded_id, class_name, command, now + time_left, respond, check_client
         )
@@ -210,6 +209,11 @@
         self.post(request)
         return decoded_id
 
+    def _client_timeout(self, class_name: str) -> float:
+        """Return the longest time in seconds that a client of a class waits, whatever its request says."""
+        request_class = self.settings.classes.get(class_name)
+        return self.settings.longest_client_timeout if request_class is None else request_class.client_timeout
+
     def on_client_gone(self, request_id: str) -> None:
         """Close a request whose client has disconnected."""
         tracked = self.requests.get(request_id)
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -13,7 +13,7 @@
 from brackenwalk.net.command import MAX_VALUE_BYTES, Command
 from brackenwalk.net.requests import RecentIds
 from brackenwalk.net.usage import measure
-from tests.loopback import HIT, SETTINGS, RouterHarness, command, http, read, run
+from tests.loopback import HIT, READ, SETTINGS, RouterHarness, command, http, read, run
 from tests.test_net_host import error
 
 LONG_VALUE = bytes(MAX_VALUE_BYTES)
@@ -119,3 +119,18 @@
     recent.add("r5", deadline=20.0, now=13.0)
     assert list(recent.deadlines) == ["r4", "r5"]  # the time of the others is over
     assert hosts.MAX_RECENT_IDS >= 1024
+
+
+def test_open_request_ends_after_the_longest_time_that_its_class_waits() -> None:
+    """Guards against: a request at a server that hangs is held for as long as its client wrote, 600 s."""
+    patient = replace(READ, aim=0.1, client_timeout=0.2)
+
+    async def scenario() -> None:
+        async with RouterHarness(replace(SETTINGS, classes={"read": patient}, max_attempts=1)) as router:
+            client, cache = await router.start_read(info="c=read,d=600000")
+            tracked = router.host.requests["r1"]
+            assert tracked.deadline - router.host.clock.now() <= patient.client_timeout
+            assert error(await client.resp()).startswith("BUSY")
+            assert await cache.wait_closed() and not router.host.requests
+
+    run(scenario)
