Refuse requests that would make the open ones hold more than their share of memory

Cause: a connection may have 32 requests open, and each may bring a value of 64 KiB that stays until its answer: 2 MB a connection, some 900 MB at 1,024 descriptors, where the limit on memory is 192 MB at the most and was not read. While the origin is slow, any clients that write long values could have the router killed, and all requests lost. Now the host tells the module what each request holds, and the module refuses a request, with a time to come back, that would bring the open ones over a share of the memory limit (30 MB of 192, 6 of 64; a request without a value counts 3 KB). Rejected: to read no further from the connection, as the request is taken by then and its time runs out unseen.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -17,6 +17,7 @@
 from brackenwalk.net.discovery import DiscoveryClient, ListError, read_list
 from brackenwalk.net.host import Host
 from brackenwalk.net.listener import Listener
+from brackenwalk.net.memory import DEFAULT_MEMORY_MB, limits_for
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.peers import PeerSocket
 from brackenwalk.net.pool import Pool, parse_address
@@ -31,6 +32,7 @@
 MAX_COUNTED_DEADLINE_S = 3.0
 RESPONSE_GRACE_S = 0.4  # time after that deadline by which the last clients to connect are answered
 EXIT_GRACE_S = 0.6  # time after that deadline by which the process exits
+MIN_MEMORY_MB = 16.0  # less than the interpreter alone needs
 RESERVED_DESCRIPTORS = 32  # for the event loop, the log, the listener and discovery
 
 
@@ -46,6 +48,7 @@
     discovery: str
     seed: int
     sockets: int
+    memory_mb: float
     known_index: int
     known: list[Member]
     settings: api.Settings
@@ -78,13 +81,17 @@
         raise ConfigError(f"seed must be hex digits, not {seed!r}") from None
     try:
         settings = read_settings(table.get("settings"))
-        sockets = int(read_number(read_section(table, "limits"), "sockets", 1024, "limits.", 64))
+        process_limits = read_section(table, "limits")
+        sockets = int(read_number(process_limits, "sockets", 1024, "limits.", 64))
+        memory_mb = read_number(process_limits, "memory_mb", DEFAULT_MEMORY_MB, "limits.", MIN_MEMORY_MB)
         index, _, known = read_list(table.get("known"), "known")
     except (api.SettingsError, ListError) as e:
         raise ConfigError(str(e)) from e
     listen = parse_address(read_address(table, "listen"))
     discovery = read_address(table, "discovery")
-    return Config(listen, discovery, seed_number, sockets, index, known, settings, *read_peers(table))
+    return Config(
+        listen, discovery, seed_number, sockets, memory_mb, index, known, settings, *read_peers(table)
+    )
 
 
 def read_peers(table: dict[str, Any]) -> tuple[str | None, list[str], str]:
@@ -134,7 +141,8 @@
     def subscribe() -> None:
         discovery.subscribe()
 
-    host = Host(settings, config.seed, cache_pool, origin_pool, subscribe)
+    limits = limits_for(config.memory_mb)
+    host = Host(settings, config.seed, cache_pool, origin_pool, subscribe, limits=limits)
     discovery = DiscoveryClient(
         config.discovery, config.known_index, host.on_server_list, host.on_list_failed
     )
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -113,6 +113,7 @@
     overload_factor: float = 2.0  # a cold server fails at this multiple of the load that it can take
     overload_window: float = 1.0  # seconds over which that load is counted
     drain_grace: float = 1.0  # seconds from the drain notice until no new request may go to the server
+    max_open_bytes: float = math.inf  # that requests without a final answer may hold in the host
     # By the operators' rules a router has to know what discovery listed this long ago, polled or not.
     max_list_age: float = 10.0
 
@@ -163,6 +164,7 @@
     key: str | None = None
     cost_hint: float | None = None
     write: bool = False
+    size: int = 0  # bytes that the host holds for the request until it is closed
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -12,9 +12,11 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from brackenwalk import interface as api
 from brackenwalk.net.command import Command
+from brackenwalk.net.memory import DEFAULT_LIMITS, MemoryLimits
 from brackenwalk.net.pool import Pool
 from brackenwalk.net.requests import Attempt, Member, RecentIds, TrackedRequest
 from brackenwalk.policy import Router
@@ -24,7 +26,8 @@
 # covers delays on a core that other processes keep busy.
 DEADLINE_MARGIN_S = 0.02
 ERR_FAILED = b"-ERR failed\r\n"
-MAX_RECENT_IDS = 16_384
+REQUEST_OVERHEAD_BYTES = 3072  # of the records, timers and names of an open request
+VALUE_COPIES = 2  # of an open request's value: in its command and in a write buffer
 log = logging.getLogger(__name__)
 
 
@@ -49,6 +52,8 @@
         cache_pool: Pool,
         origin_pool: Pool,
         subscribe: Callable[[], None],
+        *,
+        limits: MemoryLimits = DEFAULT_LIMITS,
     ) -> None:
         self.settings = settings
         self.cache_pool = cache_pool
@@ -56,11 +61,12 @@
         self.subscribe = subscribe
         self.broadcast: Callable[[bytes], None] = lambda content: None  # until the peer socket is open
         self.clock = Clock()
-        self.router = Router(settings, seed, self.clock.now())
+        bounded = replace(settings, max_open_bytes=limits.open_requests)
+        self.router = Router(bounded, seed, self.clock.now())
         self.members: dict[str, Member] = {}
         self.requests: dict[str, TrackedRequest] = {}
         self.closed: list[TrackedRequest] = []  # closed, to be dropped once the module has been told
-        self.recent_ids = RecentIds(MAX_RECENT_IDS)
+        self.recent_ids = RecentIds(limits.recent_ids)
         self.shutdown_deadline = math.inf  # upper bound of the deadlines of all requests
         self.events: deque[api.Event] = deque()
         self.handling = False
@@ -205,6 +211,7 @@
             command.key.decode("latin-1"),
             int(cost_hint) / 1e6 if cost_hint.isdigit() else None,
             command.write,
+            REQUEST_OVERHEAD_BYTES + VALUE_COPIES * command.size,
         )
         self.post(request)
         return decoded_id
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -65,6 +65,7 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: list[tuple[float, int, PendingRequest]] = []  # by priority, then age
         self.queue_sequence = self.accepted = 0
+        self.open_bytes = 0  # that the pending requests hold in the host
         self.retry_budget, self.keep_share = MAX_RETRY_BUDGET, KEEP_SHARE
         self.started_at = now
         self.stop_at = math.inf  # deadline of all requests during shutdown
@@ -286,6 +287,10 @@
         if class_settings is None:  # never sent, so counted in the demand it would displace keys that are
             self.actions.append(api.Refuse(request.id))
             return
+        if self.open_bytes + request.size > self.settings.max_open_bytes:
+            # Above the limit on its memory the router would be killed, and lose all of them.
+            self.actions.append(api.Refuse(request.id, self._retry_after(self.shortest_aim)))
+            return
         deadline = min(
             self.stop_at, self.now + min(request.time_left - self.settings.resolution, class_settings.aim)
         )
@@ -294,6 +299,7 @@
         pending = self.pending_requests[request.id] = PendingRequest(
             request, class_settings, deadline, to_origin, position
         )
+        self.open_bytes += request.size
         self.accepted += 1
         if not pending.to_origin:
             self.demand.add(pending.ring_position >> 32)
@@ -420,18 +426,22 @@
         if pending.response_started or pending.open_attempts():
             return
         name, origin = pending.request.id, self._origin() if pending.to_origin else None
-        # The obstacle should be gone by the time that the client returns. Without the random factor all
-        # refused clients would return at once.
+        # The obstacle should be gone by the time that the client returns.
         usual = 2 * (origin.latency if origin else self.mean_wait)
         if pending.skipped_cold and not pending.attempts:  # cold servers' load is counted over this window
             usual = max(usual, self.settings.overload_window)
-        retry_after = min(self.settings.max_retry_after, usual) * self.random.uniform(0.5, 1.0)
+        retry_after = self._retry_after(usual)
         self.actions.append(api.Refuse(name, retry_after) if self._permits(pending, None) else api.Fail(name))
         self._remove(pending)
 
+    def _retry_after(self, usual: float) -> float:
+        """Return when a refused client should return, in seconds: at random, or all would at once."""
+        return min(self.settings.max_retry_after, usual) * self.random.uniform(0.5, 1.0)
+
     def _remove(self, pending: PendingRequest) -> None:
         pending.waiting = False
         del self.pending_requests[pending.request.id]
+        self.open_bytes -= pending.request.size
         if self.settings.may_cancel:
             self.actions += [
                 api.Cancel(pending.request.id, i) for i, a in enumerate(pending.attempts) if a.open
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 from brackenwalk import interface as api
 from brackenwalk.net.host import Host
 from brackenwalk.net.listener import Listener
+from brackenwalk.net.memory import DEFAULT_LIMITS, MemoryLimits
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Pool
 from brackenwalk.net.requests import Member
@@ -147,7 +148,11 @@
     """A host and its listener, with two scripted cache servers and an origin."""
 
     def __init__(
-        self, settings: api.Settings = SETTINGS, listed: bool = True, client_budget: int = 16
+        self,
+        settings: api.Settings = SETTINGS,
+        listed: bool = True,
+        client_budget: int = 16,
+        limits: MemoryLimits = DEFAULT_LIMITS,
     ) -> None:
         self.listed = listed
         self.subscribe_count = 0
@@ -155,7 +160,7 @@
         self.origin = ScriptedServer()
         self.cache_pool = Pool(CacheConnection, 16, 1.0, 60.0)
         self.origin_pool = Pool(OriginConnection, 16, 1.0, 60.0)
-        self.host = Host(settings, 1, self.cache_pool, self.origin_pool, self._subscribe)
+        self.host = Host(settings, 1, self.cache_pool, self.origin_pool, self._subscribe, limits=limits)
         self.listener = Listener(self.host, client_budget)
 
     def _subscribe(self) -> None:
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -9,8 +9,9 @@
 import pytest
 
 from brackenwalk import interface as api
-from brackenwalk.net import host as hosts
 from brackenwalk.net.command import MAX_VALUE_BYTES, Command
+from brackenwalk.net.host import REQUEST_OVERHEAD_BYTES, VALUE_COPIES
+from brackenwalk.net.memory import DEFAULT_LIMITS, limits_for
 from brackenwalk.net.requests import RecentIds
 from brackenwalk.net.usage import measure
 from tests.loopback import HIT, READ, SETTINGS, RouterHarness, command, http, read, run
@@ -118,7 +119,7 @@
     assert recent.contains("r4", now=13.9) and not recent.contains("r4", now=14.0)
     recent.add("r5", deadline=20.0, now=13.0)
     assert list(recent.deadlines) == ["r4", "r5"]  # the time of the others is over
-    assert hosts.MAX_RECENT_IDS >= 1024
+    assert limits_for(32.0).recent_ids >= 1024
 
 
 def test_open_request_ends_after_the_longest_time_that_its_class_waits() -> None:
@@ -134,3 +135,30 @@
             assert await cache.wait_closed() and not router.host.requests
 
     run(scenario)
+
+
+def test_open_requests_are_bounded_in_bytes() -> None:
+    """Guards against: clients that write long values to a slow origin fill the router's memory."""
+    room = 4  # long writes
+    limits = replace(DEFAULT_LIMITS, open_requests=room * (REQUEST_OVERHEAD_BYTES + VALUE_COPIES * 66_000))
+
+    async def scenario() -> None:
+        async with RouterHarness(limits=limits) as router:
+            clients = [await router.client() for _ in range(2 * room)]
+            for number, client in enumerate(clients):
+                client.write(long_write(f"w{number}"))
+            answers = [asyncio.create_task(c.resp()) for c in clients]
+            while sum(a.done() for a in answers) < room:
+                await asyncio.sleep(0)
+            assert len(router.host.requests) == room
+            assert all(error(a.result()).startswith("BUSY ") for a in answers if a.done())
+            used = measure(router.host, router.listener, (router.cache_pool, router.origin_pool))
+            assert used.request_bytes <= limits.open_requests
+            for _ in range(room):
+                origin = await router.origin.link()
+                await origin.http()
+                origin.write(http("200 OK", b"receipt"))
+            assert [await a for a in answers].count(b"receipt") == room
+            assert router.host.router.open_bytes == 0
+
+    run(scenario)
