Bound the bytes and the time that client connections hold, in all and not only each

Cause: each connection's buffers had a limit, their sum and their time had none. At 434 clients: 32 responses of 64 KiB each that nobody reads (900 MB), 256 KiB of a pipeline read at once (110 MB), 70 KB of a command that never ends (30 MB, twice that in the parser). A client that never read its response, or stopped in the middle of a command after its first, kept connection and bytes for ever. A response that neither goes to the socket nor fits becomes -ERR failed, which is small: no request goes without its answer. Unfinished commands are closed with an error line, the one silent for longest first; their requests are not taken yet. A read takes 16 KiB. A client that has read nothing for the longest time that clients wait (10 s at least) is cut off, but not while a request of its is open. A further command has 10 s from its first byte.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -156,7 +156,7 @@
         peers = PeerSocket(config.peer_listen, config.peers, config.peers_all, host.on_peer_message)
         host.broadcast = peers.broadcast
         await peers.start()
-    listener = Listener(host, budget // 2)
+    listener = Listener(host, budget // 2, limits)
     terminated = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -12,7 +12,8 @@
 import hiredis
 
 from brackenwalk.net.command import MAX_INFO_BYTES, MAX_KEY_BYTES, MAX_VALUE_BYTES, CommandError, read_command
-from brackenwalk.net.host import Host
+from brackenwalk.net.host import ERR_FAILED, Host
+from brackenwalk.net.memory import ByteCount
 from brackenwalk.net.pool import readable, remote_closed
 from brackenwalk.net.resp import INCOMPLETE, Reader
 
@@ -28,8 +29,16 @@
 LINGER_S = 1.0  # time for a client to close a connection that the router has half-closed
 LINGER_UNSENT_S = 10.0  # the same for a client that has not yet read all its responses
 LINGER_READ_BYTES = 1 << 20  # limit on the bytes read and discarded while lingering
+COMMAND_TIMEOUT_S = 10.0  # time from the first to the last byte of a further command
+READ_BYTES = (
+    16 * 1024
+)  # limit on the bytes read from a client at once, which wait while its commands are held
+SMALL_RESPONSE_BYTES = 256  # refusals and errors, which are always held until the client reads them
 STALL_TIMEOUT_S = 2.0  # time without a byte after which an incomplete command no longer keeps its connection
 ERR_COMMAND_TIMEOUT = "-ERR no command came in time"
+ERR_INPUT_MEMORY = "-ERR too many unfinished commands, this one has been dropped"
+# Simple strings are not allowed: hiredis returns one as bytes, indistinguishable from a bulk string.
+COMMAND_ELEMENT_TYPES = b":-$"
 log = logging.getLogger(__name__)
 
 
@@ -38,6 +47,8 @@
 
     connections: dict[ClientConnection, None]
     lingering: dict[ClientConnection, None]
+    receive_buffer: bytearray  # for reading from any one of them
+    input_count: ByteCount  # bytes received from all of them that are no whole command yet
 
     def mark_idle(self, connection: ClientConnection) -> None:
         """Record that a connection has no response outstanding."""
@@ -51,6 +62,12 @@
     def remove(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
 
+    def free_input(self) -> None:
+        """Drop unfinished commands until the rest is within the limit on their bytes."""
+
+    def has_room_for_response(self, size: int) -> bool:
+        """Return whether another response of `size` bytes may wait for its client."""
+
 
 @dataclass(slots=True, eq=False)
 class Slot:
@@ -60,16 +77,19 @@
     response: bytes | None = None
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection: parses its commands and sends the responses in the order of the commands."""
 
     def __init__(self, host: Host, registry: ConnectionRegistry) -> None:
         self.host = host
         self.registry = registry
-        # Simple strings are not allowed: hiredis returns one as bytes, indistinguishable from a bulk string.
-        self.reader = Reader(element_types=b":-$")
+        self.reader = Reader(element_types=COMMAND_ELEMENT_TYPES)
         self.incomplete_bytes = 0  # received by the parser since the last complete command
         self.unparsed = b""  # received, but not passed to the parser yet
+        self.counted_input = 0  # bytes of both that the registry has counted
+        self.waiting_bytes = 0  # of responses that wait for earlier ones
+        self.written_bytes = 0  # of responses, passed to the transport
+        self.unsent_timer: asyncio.TimerHandle | None = None
         self.resume_handle: asyncio.Handle | None = None  # scheduled call that processes deferred commands
         self.last_received_at = 0.0  # loop time
         self.slots: deque[Slot] = deque()
@@ -85,12 +105,17 @@
         self.transport = transport
         self.registry.connections[self] = None
         loop = asyncio.get_running_loop()
-        self.first_command_timer = loop.call_later(
+        self.command_timer: asyncio.TimerHandle | None = loop.call_later(
             FIRST_COMMAND_TIMEOUT_S, self.close_with_error, ERR_COMMAND_TIMEOUT
         )
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read, which all connections share."""
+        return self.registry.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffer and process commands; discard all input while the connection closes."""
+        data = bytes(memoryview(self.registry.receive_buffer)[:nbytes])
         # A command that crosses the half-close is discarded: its client sees the end of the stream and can
         # send it again on another connection.
         if self in self.registry.lingering:
@@ -119,6 +144,34 @@
         if more:
             self._schedule_resume()
         self._update_reading()
+        self._count_input()
+        if self.is_unfinished() and self.command_timer is None:
+            loop = asyncio.get_running_loop()
+            self.command_timer = loop.call_later(COMMAND_TIMEOUT_S, self._on_command_timeout)
+
+    def _count_input(self) -> None:
+        """Report the bytes that wait to become commands, and free some if all clients' are too many."""
+        held = self.incomplete_bytes + len(self.unparsed)
+        self.registry.input_count.change(held - self.counted_input)
+        self.counted_input = held
+        if self.registry.input_count.exceeded():
+            self.registry.free_input()
+
+    def is_unfinished(self) -> bool:
+        """Return whether it has received a part of a command and only waits for the rest."""
+        if not self.incomplete_bytes or self.unparsed or self.resume_handle is not None:
+            return False
+        return self._accepts_commands() and not self.transport.is_closing()
+
+    def _on_command_timeout(self) -> None:
+        self.command_timer = None
+        if self.is_unfinished():
+            self.close_with_error(ERR_COMMAND_TIMEOUT)
+
+    def _stop_command_timer(self) -> None:
+        if self.command_timer is not None:
+            self.command_timer.cancel()
+            self.command_timer = None
 
     def _process_batch(self) -> bool:
         """Process one turn's commands. Return whether more may be waiting that could be processed now."""
@@ -158,7 +211,7 @@
         self.slots.append(slot)
         respond = partial(self._respond, slot)
         if isinstance(parts, list) and len(parts) == 1 and parts[0] in (b"PING", b"ping"):
-            self.first_command_timer.cancel()
+            self._stop_command_timer()
             respond(b"+PONG\r\n" if self.host.ready() else b"-ERR no cache server is known\r\n")
             return
         try:
@@ -166,16 +219,23 @@
         except CommandError as e:
             respond(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
             return
-        self.first_command_timer.cancel()
+        self._stop_command_timer()
         slot.request_id = command.request_id.decode()
         if self.host.submit(command, respond, self.check_client) is None:
             slot.request_id = None
             respond(b"-ERR this request id is in use\r\n")
 
     def _respond(self, slot: Slot, response: bytes) -> None:
+        if not self._may_hold(slot, response):
+            response = ERR_FAILED
         slot.response = response
-        while self.slots and self.slots[0].response is not None:
-            self.transport.write(self.slots.popleft().response or b"")
+        self.waiting_bytes += len(response)
+        while self.slots and (ready := self.slots[0].response) is not None:
+            self.slots.popleft()
+            self.waiting_bytes -= len(ready)
+            self.written_bytes += len(ready)
+            self.transport.write(ready)
+        self._watch_unsent()
         if not self.slots:
             self.registry.mark_idle(self)
         if self.closing and not self.slots:
@@ -183,10 +243,34 @@
         elif not self.reading:
             self._schedule_resume()
 
+    def _may_hold(self, slot: Slot, response: bytes) -> bool:
+        """Return whether a response may wait for its client, or for the responses before it."""
+        is_next = bool(self.slots) and slot is self.slots[0]
+        if len(response) <= SMALL_RESPONSE_BYTES or (is_next and not self.has_unsent()):
+            return True
+        return self.registry.has_room_for_response(len(response))
+
+    def _watch_unsent(self) -> None:
+        """Start a timer for a client that does not read, unless it reads or one is running."""
+        if self.unsent_timer is None and self.has_unsent() and not self.transport.is_closing():
+            loop, delivered = asyncio.get_running_loop(), self.written_bytes - self._buffered_bytes()
+            self.unsent_timer = loop.call_later(self.host.unread_timeout, self._on_unread, delivered)
+
+    def _on_unread(self, delivered_before: int) -> None:
+        """Close the connection if its client has read nothing and the time of all its requests is over."""
+        self.unsent_timer = None
+        nothing_read = self.written_bytes - self._buffered_bytes() == delivered_before
+        if nothing_read and self.has_unsent() and not self.slots:
+            self.abort()
+        else:
+            self._watch_unsent()
+
     def close_with_error(self, error: str) -> None:
         """Send an error line and close the connection, as the start of the next command is unknown."""
         self.closing = True
-        self.unparsed = b""
+        self.unparsed, self.incomplete_bytes = b"", 0
+        self.reader = Reader(element_types=COMMAND_ELEMENT_TYPES)  # frees what it has buffered
+        self._count_input()
         slot = Slot()
         self.slots.append(slot)
         self._respond(slot, error.encode("ascii", "replace").replace(b"\r\n", b" ") + b"\r\n")
@@ -258,12 +342,14 @@
 
     def has_unsent(self) -> bool:
         """Return whether responses are still in the write buffer, as the client has not read them."""
-        return self.transport.get_write_buffer_size() > 0
+        return self._buffered_bytes() > 0
+
+    def _buffered_bytes(self) -> int:
+        return self.transport.get_write_buffer_size()
 
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that the client has not read or that wait for earlier ones."""
-        waiting = sum(len(slot.response or b"") for slot in self.slots)
-        return waiting + self.transport.get_write_buffer_size()
+        return self.waiting_bytes + self._buffered_bytes()
 
     def close_gracefully(self) -> None:
         """Half-close the connection once all is written, then discard input until the client closes it.
@@ -274,7 +360,7 @@
         if self.transport.is_closing() or self in self.registry.lingering:
             return
         self.closing = True
-        self.first_command_timer.cancel()
+        self._stop_command_timer()
         loop = asyncio.get_running_loop()
         self.linger_deadline, self.had_unsent = loop.time() + LINGER_UNSENT_S, self.has_unsent()
         self.linger_timer = loop.call_later(LINGER_S, self._on_linger_timeout)
@@ -319,7 +405,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timers and report the client's open requests as abandoned."""
         self.registry.remove(self)
-        self.first_command_timer.cancel()
-        if self.linger_timer is not None:
-            self.linger_timer.cancel()
+        self._stop_command_timer()
+        for timer in (self.linger_timer, self.unsent_timer):
+            if timer is not None:
+                timer.cancel()
+        self.unparsed, self.incomplete_bytes = b"", 0
+        self._count_input()
         self._abandon_requests()
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -15,7 +15,7 @@
 from dataclasses import replace
 
 from brackenwalk import interface as api
-from brackenwalk.net.command import Command
+from brackenwalk.net.command import MAX_DEADLINE_MS, Command
 from brackenwalk.net.memory import DEFAULT_LIMITS, MemoryLimits
 from brackenwalk.net.pool import Pool
 from brackenwalk.net.requests import Attempt, Member, RecentIds, TrackedRequest
@@ -27,6 +27,7 @@
 DEADLINE_MARGIN_S = 0.02
 ERR_FAILED = b"-ERR failed\r\n"
 REQUEST_OVERHEAD_BYTES = 3072  # of the records, timers and names of an open request
+MIN_UNREAD_TIMEOUT_S = 10.0
 VALUE_COPIES = 2  # of an open request's value: in its command and in a write buffer
 log = logging.getLogger(__name__)
 
@@ -67,6 +68,10 @@
         self.requests: dict[str, TrackedRequest] = {}
         self.closed: list[TrackedRequest] = []  # closed, to be dropped once the module has been told
         self.recent_ids = RecentIds(limits.recent_ids)
+        # Seconds after which a client that reads nothing is cut off; its requests' time is over by then.
+        self.unread_timeout = max(
+            MIN_UNREAD_TIMEOUT_S, min(MAX_DEADLINE_MS / 1000, settings.longest_client_timeout)
+        )
         self.shutdown_deadline = math.inf  # upper bound of the deadlines of all requests
         self.events: deque[api.Event] = deque()
         self.handling = False
--- a/brackenwalk/net/listener.py
+++ b/brackenwalk/net/listener.py
@@ -9,8 +9,9 @@
 import socket
 from contextlib import suppress
 
-from brackenwalk.net.clients import ERR_COMMAND_TIMEOUT, ClientConnection
+from brackenwalk.net.clients import ERR_COMMAND_TIMEOUT, ERR_INPUT_MEMORY, READ_BYTES, ClientConnection
 from brackenwalk.net.host import Host
+from brackenwalk.net.memory import DEFAULT_LIMITS, ByteCount, MemoryLimits
 
 # Interval at which clients whose reading is paused are polled for a disconnect, which asyncio does not report
 # then. No attempt may begin later than 0.1 s after a disconnect, even when a busy turn of the event loop
@@ -38,8 +39,11 @@
 class Listener:
     """The listening socket and the open client connections; implements `ConnectionRegistry`."""
 
-    def __init__(self, host: Host, budget: int) -> None:
+    def __init__(self, host: Host, budget: int, limits: MemoryLimits = DEFAULT_LIMITS) -> None:
         self.host = host
+        self.receive_buffer = bytearray(READ_BYTES)
+        self.input_count = ByteCount(limits.client_input)
+        self.max_unsent_bytes = limits.unsent_responses
         self.budget = budget
         self.min_budget = budget * 2 // 3
         self.connections: dict[ClientConnection, None] = {}  # the one idle for longest first
@@ -128,6 +132,22 @@
         while len(self.connections) > self._max_open() and self._close_one():
             pass
 
+    def free_input(self) -> None:
+        """Close connections with unfinished commands, the one silent for longest first, until they fit.
+
+        The command that a client has not finished is not accepted yet, so that no request is lost.
+        """
+        unfinished = [c for c in self.connections if c.is_unfinished()]
+        for connection in sorted(unfinished, key=lambda c: c.last_received_at):
+            if not self.input_count.exceeded():
+                break
+            connection.close_with_error(ERR_INPUT_MEMORY)
+
+    def has_room_for_response(self, size: int) -> bool:
+        """Return whether another response of `size` bytes may wait for its client."""
+        unsent = sum(c.unsent_bytes() for c in (*self.connections, *self.lingering))
+        return unsent + size <= self.max_unsent_bytes
+
     def mark_idle(self, connection: ClientConnection) -> None:
         """Record that a connection has no response outstanding."""
         if connection in self.connections:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -161,7 +161,7 @@
         self.cache_pool = Pool(CacheConnection, 16, 1.0, 60.0)
         self.origin_pool = Pool(OriginConnection, 16, 1.0, 60.0)
         self.host = Host(settings, 1, self.cache_pool, self.origin_pool, self._subscribe, limits=limits)
-        self.listener = Listener(self.host, client_budget)
+        self.listener = Listener(self.host, client_budget, limits)
 
     def _subscribe(self) -> None:
         self.subscribe_count += 1
