Bound the bytes of incomplete responses, and free buffers after long messages

Cause: some 500 connections to servers may each hold 70 KB of a response that never ends, twice that in the parser, 60 MB and more at once, until the deadlines; and after a long message hiredis keeps its buffer until the next one: 26 MB for 400 idle connections (measured by a probe), likewise for clients that rest. An idle connection to the origin kept its last body. Now each pool counts the bytes of incomplete responses against a share of the memory limit and fails the attempt that passes it (ERROR: it may have run); a parser that has carried over 16 KiB is made anew between two messages.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -135,13 +135,13 @@
     settings = config.settings
     budget = config.sockets - RESERVED_DESCRIPTORS
     dial, idle = settings.dial_timeout, settings.idle_timeout
-    cache_pool = Pool(CacheConnection, budget * 3 // 8, dial, idle)
-    origin_pool = Pool(OriginConnection, budget // 8, dial, idle)
+    limits = limits_for(config.memory_mb)
+    cache_pool = Pool(CacheConnection, budget * 3 // 8, dial, idle, limits.server_input // 2)
+    origin_pool = Pool(OriginConnection, budget // 8, dial, idle, limits.server_input // 2)
 
     def subscribe() -> None:
         discovery.subscribe()
 
-    limits = limits_for(config.memory_mb)
     host = Host(settings, config.seed, cache_pool, origin_pool, subscribe, limits=limits)
     discovery = DiscoveryClient(
         config.discovery, config.known_index, host.on_server_list, host.on_list_failed
--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -117,7 +117,8 @@
                 headers: dict[bytes, bytes] = {}
                 for name, value in self.head.headers:
                     headers[name] = headers[name] + b", " + value if name in headers else value
-                return Response(self.head.status_code, headers, bytes(self.body))
+                body, self.body = bytes(self.body), bytearray()  # an idle connection holds none
+                return Response(self.head.status_code, headers, body)
             else:
                 raise HttpError(f"{event!r} instead of a response")
         return None
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -10,6 +10,7 @@
 
 from brackenwalk.interface import Status
 from brackenwalk.net.command import Command
+from brackenwalk.net.memory import DEFAULT_LIMITS, ByteCount
 
 IDLE_MARGIN_S = 0.5  # time by which an idle connection is closed before the server may close it
 # Time after a response for which its connection is not reused. A faulty second response comes up to 4 ms
@@ -101,6 +102,7 @@
         self.fully_written = False  # whether the last byte of the request is in the kernel
         self.expiry_timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0  # loop time of the latest response
+        self.incomplete_bytes = 0  # received of a response that is not whole yet
 
     @abstractmethod
     def encode(self, command: Command, time_left: float) -> bytes:
@@ -167,14 +169,32 @@
             self.abort()
             exchange.finish(Status.ERROR)
             return
-        if result is not None:
+        if result is None:
+            self._count_incomplete(len(data))
+        else:
             self.exchange = None
+            self.release_bytes()
             if self.fully_written and self.reusable() and not self.transport.is_closing():
                 self.pool.release(self)
             else:
                 self.abort()
             exchange.finish(*result)
 
+    def _count_incomplete(self, size: int) -> None:
+        """Count bytes of an incomplete response; fail the attempt if all connections hold too many."""
+        self.incomplete_bytes += size
+        self.pool.input_count.change(size)
+        if self.pool.input_count.exceeded() and (exchange := self.exchange) is not None:
+            log.warning("response from %s dropped, too many bytes of incomplete responses", self.address)
+            self.exchange = None
+            self.abort()
+            exchange.finish(Status.ERROR)
+
+    def release_bytes(self) -> None:
+        """Count the bytes of the response no longer: it is whole, or its connection has ended."""
+        self.pool.input_count.change(-self.incomplete_bytes)
+        self.incomplete_bytes = 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt: as a reset if the whole request was written, else as one that never ran."""
         self.pool.remove(self)
@@ -197,7 +217,9 @@
         budget: int,
         dial_timeout: float,
         server_idle_timeout: float,
+        input_limit: int = DEFAULT_LIMITS.server_input,
     ) -> None:
+        self.input_count = ByteCount(input_limit)  # bytes of responses that are not whole yet
         self.make_connection = make_connection
         self.budget = budget  # of file descriptors
         self.dial_timeout = dial_timeout
@@ -284,6 +306,7 @@
 
     def remove(self, connection: Connection) -> None:
         """Remove a closed connection."""
+        connection.release_bytes()
         self.connections.discard(connection)
         if connection.expiry_timer is not None:
             connection.expiry_timer.cancel()
--- a/brackenwalk/net/resp.py
+++ b/brackenwalk/net/resp.py
@@ -14,6 +14,7 @@
 LENGTH = re.compile(rb"-1|0|[1-9][0-9]{0,17}")  # only null has a sign
 INTEGER = re.compile(rb"-?[0-9]{1,18}")
 INCOMPLETE = object()
+KEPT_BUFFER_BYTES = 16 * 1024  # of a parser between messages; a larger buffer is freed
 
 
 class Reader:
@@ -26,6 +27,7 @@
 
     def __init__(self, top_types: bytes = b"+-:$*", element_types: bytes = b"+-:$") -> None:
         self.parser = hiredis.Reader(notEnoughData=INCOMPLETE)
+        self.fed_bytes = 0  # since the parser's buffer was empty
         self.top_types = top_types
         self.nested_types = element_types
         self.line = b""  # received part of an incomplete line
@@ -57,6 +59,7 @@
                 offset = offset if self.error else end.start() + len(LINE_END)
         if self.error:
             data = data[: max(offset, old_length)]
+        self.fed_bytes += len(data) - old_length
         self.parser.feed(data[old_length:])
 
     def _skip_bulk(self, data: bytes, offset: int) -> int:
@@ -99,8 +102,16 @@
         message = self.parser.gets()
         if message is INCOMPLETE and self.error:
             raise hiredis.ProtocolError(self.error)
+        if message is not INCOMPLETE and not self.parser.has_data():
+            self._free_buffer()
         return message
 
+    def _free_buffer(self) -> None:
+        """Free the parser's buffer after long messages, as hiredis keeps it until the next one."""
+        if self.fed_bytes > KEPT_BUFFER_BYTES:
+            self.parser = hiredis.Reader(notEnoughData=INCOMPLETE)
+        self.fed_bytes = 0
+
     def buffered(self) -> int:
         """Return the number of received bytes that have not been returned in a message yet."""
         return self.parser.len() if self.parser.has_data() else 0
