Bound counts by key and server lists, whatever siblings and discovery send

Cause: counts of requests by key are halved by the plan for hot keys, which is made on an own request while a server is listed. A router without requests, or a fleet without servers, added each key that its peers or clients named: some 6,000 keys a second from 200 peers, without end. Lists had a limit of 4 MiB each, but changes added up, names were of any length, and the largest weight of each kind of server ever listed was kept for ever. Now counts of eight windows, or of 32,768 keys, are halved at once; a list that would pass the number of servers for the memory limit (4,096 at least) is rejected whole with a typed error that names the remedy, its index is not passed, and texts have 1,024 characters.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -17,7 +17,7 @@
 from brackenwalk.net.discovery import DiscoveryClient, ListError, read_list
 from brackenwalk.net.host import Host
 from brackenwalk.net.listener import Listener
-from brackenwalk.net.memory import DEFAULT_MEMORY_MB, limits_for
+from brackenwalk.net.memory import DEFAULT_MEMORY_MB, TooManyServersError, limits_for
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.peers import PeerSocket
 from brackenwalk.net.pool import Pool, parse_address
@@ -144,9 +144,16 @@
 
     host = Host(settings, config.seed, cache_pool, origin_pool, subscribe, limits=limits)
     discovery = DiscoveryClient(
-        config.discovery, config.known_index, host.on_server_list, host.on_list_failed
+        config.discovery,
+        config.known_index,
+        host.on_server_list,
+        host.on_list_failed,
+        max_list_bytes=limits.list_bytes,
     )
-    host.on_server_list(api.ListKind.SAVED, config.known)
+    try:
+        host.on_server_list(api.ListKind.SAVED, config.known)
+    except TooManyServersError as e:
+        raise ConfigError(f"known: {e}") from e
     if not settings.subscribe:
         # In this mode the module expects lists to be pushed and does not subscribe; here they come by the
         # same watch.
--- a/brackenwalk/demand.py
+++ b/brackenwalk/demand.py
@@ -26,6 +26,9 @@
 MAX_SERVERS = 24  # in a message
 KEY_ENTRY = struct.Struct(">IB")  # a key's hash and its number of requests
 MAX_COUNT = 255  # of requests in a key entry
+MAX_COUNTED_KEYS = 32_768  # of each window, whatever the peers send
+MAX_UNSENT_KEYS = 4096  # own keys since the last message; without servers there is none for long
+OVERFLOW_FACTOR = 8.0  # of a window, above which counts are halved without waiting for the next plan
 MAX_DEFERRED_KEYS = 1024  # the most requested ones; the others are dropped
 MAX_KEYS = 30  # in a message; with MAX_SERVERS they fit into the 256 bytes that it may have
 
@@ -67,8 +70,17 @@
     def decay(self, servers: int) -> None:
         """Halve all counts until their total is within the window."""
         while self.total > self.window * servers:
-            self.counts = Counter({k: n // 2 for k, n in self.counts.items() if n > 1})
-            self.total /= 2
+            self._halve()
+
+    def limit(self, servers: int) -> None:
+        """Halve all counts while there are far too many of them, for routers that make no plans."""
+        window = self.window * max(1, servers)
+        while self.total > OVERFLOW_FACTOR * window or len(self.counts) > MAX_COUNTED_KEYS:
+            self._halve()
+
+    def _halve(self) -> None:
+        self.counts = Counter({k: n // 2 for k, n in self.counts.items() if n > 1})
+        self.total /= 2
 
     def share(self, key: int) -> float:
         """Return a key's share of the requests counted; 1 while there are none."""
@@ -93,7 +105,13 @@
         for counter in (self.history, self.recent):
             counter.counts[key] += 1
             counter.total += 1
-        self.unsent[key] += 1
+        if key in self.unsent or len(self.unsent) < MAX_UNSENT_KEYS:
+            self.unsent[key] += 1
+
+    def limit(self, servers: int) -> None:
+        """Bound the counts of a router that makes no plans: it has no requests, or no servers."""
+        self.history.limit(servers)
+        self.recent.limit(servers)
 
     def share(self, key: int) -> float:
         """Return the higher estimate of a key's share: the short window shows keys that just turned hot."""
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -13,6 +13,7 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net.http import HttpClient, HttpError
+from brackenwalk.net.memory import DEFAULT_LIMITS, TooManyServersError
 from brackenwalk.net.pool import parse_address
 from brackenwalk.net.requests import Member
 
@@ -21,7 +22,7 @@
     "terminating": api.ServerState.DRAINING,
     "terminated": api.ServerState.GONE,
 }
-MAX_LIST_BYTES = 4 * 1024 * 1024
+MAX_TEXT_CHARS = 1024  # of a name, address, zone or type
 # Time for which a watch asks discovery to wait for a change. With the margin below, a call without a
 # response fails after 5 s. By the requirements a change counts as delivered to the routers after 6 s, and the
 # next call takes time as well.
@@ -48,6 +49,8 @@
     value = table.get(name)
     if not isinstance(value, types) or (isinstance(value, bool) and types is not bool):
         raise ListError(f"{path}{name} is missing or malformed: {str(value)[:40]}")
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        raise ListError(f"{path}{name} is longer than {MAX_TEXT_CHARS} characters: {value[:40]}")
     return value
 
 
@@ -101,7 +104,10 @@
         index: int,
         on_list: Callable[[api.ListKind, list[Member]], None],
         on_failure: Callable[[], None],
+        *,
+        max_list_bytes: int = DEFAULT_LIMITS.list_bytes,
     ) -> None:
+        self.max_list_bytes = max_list_bytes
         self.address = address
         self.index = index
         self.on_list = on_list
@@ -137,14 +143,17 @@
                     if not update[1]:
                         raise ListError("sent changes in response to a call for the full list")
                 self.index_valid = self.index_valid or self.called_address == self.address
-                self.index, is_full, members = update
+                index, is_full, members = update
                 self.on_list(api.ListKind.FULL if is_full else api.ListKind.DELTA, members)
+                self.index = index  # only of a list that has been taken
                 if not members:
                     await asyncio.sleep(EMPTY_RESPONSE_PAUSE_S)
         except Exception as e:
             # Whatever the failure, it is reported: the module only then subscribes again, and would otherwise
             # keep its old list for ever.
-            known = isinstance(e, (OSError, HttpError, ListError, orjson.JSONDecodeError))
+            known = isinstance(
+                e, (OSError, HttpError, ListError, TooManyServersError, orjson.JSONDecodeError)
+            )
             level, elapsed = logging.WARNING if known else logging.ERROR, time.monotonic() - started_at
             log.log(
                 level,
@@ -163,7 +172,7 @@
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*parse_address(self.called_address))
             try:
-                client = HttpClient(self.called_address, MAX_LIST_BYTES)
+                client = HttpClient(self.called_address, self.max_list_bytes)
                 request = client.request("GET", "/registry/instances" + query, [(b"Connection", b"close")])
                 writer.write(request)
                 response = None
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -16,7 +16,7 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net.command import MAX_DEADLINE_MS, Command
-from brackenwalk.net.memory import DEFAULT_LIMITS, MemoryLimits
+from brackenwalk.net.memory import DEFAULT_LIMITS, MemoryLimits, TooManyServersError
 from brackenwalk.net.pool import Pool
 from brackenwalk.net.requests import Attempt, Member, RecentIds, TrackedRequest
 from brackenwalk.policy import Router
@@ -60,6 +60,7 @@
         self.cache_pool = cache_pool
         self.origin_pool = origin_pool
         self.subscribe = subscribe
+        self.max_servers = limits.servers
         self.broadcast: Callable[[bytes], None] = lambda content: None  # until the peer socket is open
         self.clock = Clock()
         bounded = replace(settings, max_open_bytes=limits.open_requests)
@@ -144,7 +145,13 @@
         self.post(api.ServerList(api.ListKind.MOVED))
 
     def on_server_list(self, kind: api.ListKind, members: list[Member]) -> None:
-        """Apply a full list or changes, and abort unsent attempts at servers that have changed."""
+        """Apply a full list or changes, and abort unsent attempts at servers that have changed.
+
+        Raises `TooManyServersError`, and keeps the current list, if the new one does not fit in memory.
+        """
+        kept = len(self.members) if kind is api.ListKind.DELTA else 0
+        if kept + len(members) > self.max_servers:
+            self._check_server_count(kind, members)
         if kind is not api.ListKind.DELTA:
             self.members = {}
         for member in members:
@@ -165,6 +172,13 @@
                 ):
                     self._abort_attempt(tracked, attempt, api.Status.UNSENT)
 
+    def _check_server_count(self, kind: api.ListKind, members: list[Member]) -> None:
+        names = set(self.members) if kind is api.ListKind.DELTA else set()
+        for member in members:
+            (names.discard if member.entry.state is api.ServerState.GONE else names.add)(member.entry.server)
+        if len(names) > self.max_servers:
+            raise TooManyServersError(len(names), self.max_servers)
+
     def _server_changed(self, attempt: Attempt) -> bool:
         """Return whether the attempt's server now drains, has left the list, has moved or has restarted."""
         previous = attempt.member
--- a/brackenwalk/net/memory.py
+++ b/brackenwalk/net/memory.py
@@ -14,6 +14,14 @@
 MIN_RECENT_IDS = 1024
 SERVERS_PER_MIB = 64  # listed servers for each MiB of the memory limit
 MIN_SERVERS = 4096
+LIST_BYTES_PER_SERVER = 512  # of an indented list
+
+
+class TooManyServersError(ValueError):
+    """A server list that does not fit the memory limit; the message names the numbers and the remedy."""
+
+    def __init__(self, servers: int, limit: int) -> None:
+        super().__init__(f"{servers} servers listed, memory_mb allows {limit}: raise it, or list fewer")
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,10 +34,12 @@
     unsent_responses: int  # not read by their clients
     recent_ids: int  # number of ids
     servers: int  # number of listed servers
+    list_bytes: int  # of a response of discovery
 
 
 def limits_for(memory_mb: float) -> MemoryLimits:
     """Divide a router's memory limit, in MB, among the kinds."""
+    servers = max(MIN_SERVERS, int(SERVERS_PER_MIB * memory_mb))
     held = MIB * max(LEAST_SHARE * memory_mb, USED_SHARE * (memory_mb - PROGRAM_MIB))
     return MemoryLimits(
         open_requests=int(REQUEST_SHARE * held),
@@ -37,7 +47,8 @@
         server_input=int(SERVER_SHARE * held),
         unsent_responses=int(UNSENT_SHARE * held),
         recent_ids=max(MIN_RECENT_IDS, int(RECENT_ID_SHARE * memory_mb * MIB / RECENT_ID_BYTES)),
-        servers=max(MIN_SERVERS, int(SERVERS_PER_MIB * memory_mb)),
+        servers=servers,
+        list_bytes=LIST_BYTES_PER_SERVER * servers,
     )
 
 
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -19,6 +19,7 @@
 from brackenwalk.shares import CACHE_TARGET_SHARE, EPSILON, TrafficShares
 from brackenwalk.state import Attempt, PendingRequest, Server
 
+MAX_KINDS = 1024  # of servers whose largest weight is remembered after they have left the list
 VNODES = 128  # of a server of unit weight; its share of the keys is then right within about 10 %
 MAX_WALK_NODES = 64  # bounds the cost of a request when every server is at its limit
 FREE_RETRY_SHARE = 0.3  # of successful attempts: above it, retries after a BUSY are cheap and cost no budget
@@ -85,7 +86,9 @@
         elif isinstance(event, api.ServerList):
             self._on_list(event)
         elif isinstance(event, api.PeerMessage):
-            for name_hash in self.peer_updates.receive(event.content, now):
+            unhealthy = self.peer_updates.receive(event.content, now)
+            self.demand.limit(len(self.caches))
+            for name_hash in unhealthy:
                 if name_hash in self.servers_by_hash:
                     self.shares.cut_health(self.servers_by_hash[name_hash])
                     self.peer_updates.remove_unhealthy(self.servers_by_hash[name_hash])
@@ -167,6 +170,9 @@
                 cache.reported_load = (
                     cache.ring_weight / cache.entry.weight - 1 if cache.entry.weight else 0.0
                 )
+        if len(self.largest_weights) > MAX_KINDS:
+            listed = {s.entry.kind for s in caches}
+            self.largest_weights = {k: w for k, w in self.largest_weights.items() if k in listed}
         largest = max((s.ring_weight for s in caches), default=0.0) or 1.0  # also for servers without one
         unit = 2.0 ** math.ceil(math.log2(largest))  # a power of two, which rarely changes with the fleet
         for owner in self.servers.values():
@@ -303,6 +309,7 @@
         self.accepted += 1
         if not pending.to_origin:
             self.demand.add(pending.ring_position >> 32)
+            self.demand.limit(len(self.caches))
         if self.caches and self.peer_updates.due(self.now):
             self.shares.plan(self._clockwise, self.ring.owner_at)
             if message := self.peer_updates.next_message(self.now):
