Free what an ended attempt held at once, not at the next full garbage collection

Cause: an attempt, its exchange and the closure between them referred to each other, and the exchange to its connection, the request to the slot of its response. So the buffers of a broken connection and served values of 64 KiB stayed until the collector's oldest generation ran.

--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -342,7 +342,9 @@
 
         attempt.member = self.members[action.server]
         pool, address = self._pool_of(action.server), attempt.member.address
-        attempt.exchange = pool.start(address, tracked.command, time_left, on_done, tracked.check_client)
+        exchange = pool.start(address, tracked.command, time_left, on_done, tracked.check_client)
+        if exchange.open:
+            attempt.exchange = exchange
 
     def _cancel(self, action: api.Cancel) -> None:
         tracked = self.requests.get(action.request_id)
@@ -364,6 +366,7 @@
         """Report the outcome of an attempt once. The first successful attempt answers the client."""
         if tracked.attempts.pop(attempt.number, None) is None:
             return
+        attempt.exchange = None  # which refers back to the attempt: both are freed at once
         if attempt.timer is not None:
             attempt.timer.cancel()
         if status is api.Status.OK:
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from brackenwalk.interface import Status
-from brackenwalk.net.command import Command
+from brackenwalk.net.command import MAX_VALUE_BYTES, Command
 from brackenwalk.net.memory import DEFAULT_LIMITS, ByteCount
 
 IDLE_MARGIN_S = 0.5  # time by which an idle connection is closed before the server may close it
@@ -18,6 +18,7 @@
 REUSE_DELAY_S = 0.02
 log = logging.getLogger(__name__)
 
+READ_BYTES = MAX_VALUE_BYTES + 8192  # read from a server at once: a whole response, as a rule
 AttemptResult = tuple[Status, bytes]  # the outcome, and the value if there is one
 
 
@@ -71,6 +72,7 @@
         """Report the outcome, unless the attempt has ended already."""
         if self.open:
             self.open = False
+            self.connection = None  # its buffers may be long, and `on_done` refers back to this object
             self.on_done(status, value)
 
     def unsent(self) -> bool:
@@ -90,9 +92,10 @@
             self.dial.cancel()
         if self.connection is not None:
             self.connection.abort()
+            self.connection = None
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to one address, which carries one attempt at a time. Subclasses speak the protocol."""
 
     def __init__(self, pool: Pool, address: str) -> None:
@@ -153,6 +156,14 @@
         """Record that the kernel has the whole request."""
         self.fully_written = True
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read, which all connections of the pool share."""
+        return self.pool.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on the bytes that have been read."""
+        self.data_received(bytes(memoryview(self.pool.receive_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse the response. Once it is complete, end the attempt and keep or close the connection."""
         exchange = self.exchange
@@ -219,6 +230,7 @@
         server_idle_timeout: float,
         input_limit: int = DEFAULT_LIMITS.server_input,
     ) -> None:
+        self.receive_buffer = bytearray(READ_BYTES)
         self.input_count = ByteCount(input_limit)  # bytes of responses that are not whole yet
         self.make_connection = make_connection
         self.budget = budget  # of file descriptors
