--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -47,6 +47,7 @@
 
     connections: dict[ClientConnection, None]
     lingering: dict[ClientConnection, None]
+    unread: dict[ClientConnection, None]  # those that may have unsent responses
     receive_buffer: bytearray  # for reading from any one of them
     input_count: ByteCount  # bytes received from all of them that are no whole command yet
 
@@ -235,7 +236,9 @@
             self.waiting_bytes -= len(ready)
             self.written_bytes += len(ready)
             self.transport.write(ready)
-        self._watch_unsent()
+        if self.unsent_bytes() and not self.transport.is_closing():
+            self.registry.unread[self] = None
+            self._watch_unsent()
         if not self.slots:
             self.registry.mark_idle(self)
         if self.closing and not self.slots:
--- a/brackenwalk/net/listener.py
+++ b/brackenwalk/net/listener.py
@@ -49,6 +49,7 @@
         self.min_budget = budget * 2 // 3
         self.connections: dict[ClientConnection, None] = {}  # the one idle for longest first
         self.lingering: dict[ClientConnection, None] = {}  # half-closed by the router
+        self.unread: dict[ClientConnection, None] = {}
         self.changed = asyncio.Event()  # a connection has closed or become idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.accept_task: asyncio.Task[None] | None = None
@@ -149,7 +150,8 @@
 
         Queued ones leave room for clients that read: theirs usually go to the socket at once.
         """
-        unsent = sum(c.unsent_bytes() for c in (*self.connections, *self.lingering))
+        self.unread = {c: None for c in self.unread if c.unsent_bytes()}
+        unsent = sum(c.unsent_bytes() for c in self.unread)
         return unsent + size <= self.max_unsent_bytes * (QUEUED_SHARE if queued else 1.0)
 
     def mark_idle(self, connection: ClientConnection) -> None:
@@ -193,6 +195,7 @@
         """Remove a closed connection."""
         self.connections.pop(connection, None)
         self.lingering.pop(connection, None)
+        self.unread.pop(connection, None)
         self.changed.set()
 
     async def stop(self, grace: float, time_limit: float) -> None:
