Cancel the timers that the module set for a request once the request is closed

Cause: each sent request sets a timer for a second copy and each queued one a timer for its wait; neither was cancelled, so that a flood of answered requests left a timer each until its aim. The module names the request of such a timer now, and the host cancels it with the request; delivered later, it had no effect. Fails on the commit before for both timers.

--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -258,10 +258,14 @@
 
 @dataclass(slots=True, frozen=True)
 class SetTimer:
-    """Deliver a `TimerFired` with this token after `delay` seconds."""
+    """Deliver a `TimerFired` with this token after `delay` seconds.
+
+    A timer of a request has no effect once the request is closed, and need not be delivered then.
+    """
 
     delay: float
     token: str
+    request_id: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -121,8 +121,7 @@
                 if action.server in self.members:
                     self._pool_of(action.server).close_idle(self.members[action.server].address)
             case api.SetTimer():
-                loop = asyncio.get_running_loop()
-                loop.call_later(action.delay, self.post, api.TimerFired(action.token))
+                self._set_timer(action)
             case api.Subscribe():
                 self.subscribe()
             case api.Broadcast():
@@ -130,6 +129,13 @@
             case api.Log():
                 log.info("%s", action.text)
 
+    def _set_timer(self, action: api.SetTimer) -> None:
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(action.delay, self.post, api.TimerFired(action.token))
+        tracked = self.requests.get(action.request_id) if action.request_id is not None else None
+        if tracked is not None:
+            tracked.module_timers.append(timer)
+
     # Server list
 
     def ready(self) -> bool:
@@ -303,6 +309,8 @@
             del self.requests[tracked.id]
             if tracked.timer is not None:
                 tracked.timer.cancel()
+            for timer in tracked.module_timers:
+                timer.cancel()
             # A request of an unknown class can't have run: nothing is wrong with its id.
             if tracked.class_name in self.settings.classes:
                 self.recent_ids.add(tracked.id, tracked.deadline, now)
--- a/brackenwalk/net/requests.py
+++ b/brackenwalk/net/requests.py
@@ -44,6 +44,7 @@
     closed: bool = False  # answered, or its client has disconnected
     deadline_passed: bool = False
     timer: asyncio.TimerHandle | None = None  # fires at the deadline
+    module_timers: list[asyncio.TimerHandle] = field(default_factory=list)  # set by the decision module
     attempts: dict[int, Attempt] = field(default_factory=dict)  # in flight, by number
 
 
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -371,7 +371,8 @@
         """Set a timer for a second copy, due when the latest attempt has taken far longer than usual."""
         last.copy_at = self.now + max(last.target_latency, LOST_FACTOR * last.server.latency)
         if self.settings.second_copies and last.copy_at < pending.deadline:
-            self.actions.append(api.SetTimer(last.copy_at - self.now, "late:" + pending.request.id))
+            name, delay = pending.request.id, last.copy_at - self.now
+            self.actions.append(api.SetTimer(delay, "late:" + name, name))
 
     def _send_copy(self, pending: PendingRequest, last: Attempt) -> None:
         """Send a second copy if the answer is long overdue and its server has answered a later send.
@@ -526,7 +527,7 @@
     def _set_wait_timer(self, pending: PendingRequest) -> None:
         """Set a timer by which a queued request gets its final answer in any case."""
         pause = max(0.0, self._latest_start(pending, self._origin()) - self.now)
-        self.actions.append(api.SetTimer(pause, "wait:" + pending.request.id))
+        self.actions.append(api.SetTimer(pause, "wait:" + pending.request.id, pending.request.id))
 
     def _latest_start(self, pending: PendingRequest, origin: Server | None) -> float:
         """Return the latest time at which to send to the origin for an answer before the deadline.
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -172,6 +173,40 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("server", ["cache", "origin"])
+def test_timers_of_a_closed_request_are_cancelled(server: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: each request leaves a timer behind until its aim, thousands of them in a flood."""
+    one_at_a_time = replace(READ, aim=60.0, client_timeout=60.0)
+    classes = {"read": one_at_a_time, "book": replace(SETTINGS.classes["book"], aim=60.0)}
+
+    async def scenario() -> None:
+        handles: list[asyncio.TimerHandle] = []
+        loop = asyncio.get_running_loop()
+        call_later = loop.call_later
+
+        def recording(delay: float, callback: Any, *args: Any) -> asyncio.TimerHandle:
+            handle = call_later(delay, callback, *args)
+            if args and isinstance(args[0], api.TimerFired):
+                handles.append(handle)
+            return handle
+
+        monkeypatch.setattr(loop, "call_later", recording)
+        async with RouterHarness(replace(SETTINGS, classes=classes)) as router:
+            if server == "cache":
+                client, cache = await router.start_read(info="c=read,d=60000")
+                cache.write(HIT)
+            else:
+                client = await router.client()
+                client.write(long_write("w1"))
+                origin = await router.origin.link()
+                await origin.http()
+                origin.write(http("200 OK", b"value"))
+            assert await client.resp() == b"value"
+            assert handles and all(h.cancelled() for h in handles)
+
+    run(scenario)
+
+
 def test_open_requests_are_bounded_in_bytes() -> None:
     """Guards against: clients that write long values to a slow origin fill the router's memory."""
     room = 4  # long writes
