--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -11,19 +11,17 @@
 
 import hiredis
 
-from brackenwalk.net.command import MAX_INFO_BYTES, MAX_KEY_BYTES, MAX_VALUE_BYTES, CommandError, read_command
+from brackenwalk.net.command import CommandError, read_command
+from brackenwalk.net.command_buffer import CommandBuffer
 from brackenwalk.net.host import ERR_FAILED, Host
 from brackenwalk.net.memory import ByteCount
 from brackenwalk.net.pool import readable, remote_closed
-from brackenwalk.net.resp import INCOMPLETE, Reader
+from brackenwalk.net.resp import INCOMPLETE
 
-# Limit on the bytes of an incomplete command.
-MAX_COMMAND_BYTES = MAX_VALUE_BYTES + MAX_KEY_BYTES + MAX_INFO_BYTES + 4096
 MAX_PIPELINED = 32  # commands of one connection that wait for their responses
 # Limit on the commands that one connection may process in one turn of the event loop. Without it a client
 # that sends hundreds at once delays the responses to all others, and every timer that is due in that turn.
 MAX_COMMANDS_PER_TURN = 32
-PARSE_CHUNK_BYTES = 4096  # limit on the bytes parsed at once, for the same reason
 # Time for a client to send its first valid command. Without one, an error line or a close is due within 3 s.
 FIRST_COMMAND_TIMEOUT_S = 2.5
 LINGER_S = 1.0  # time for a client to close a connection that the router has half-closed
@@ -37,8 +35,6 @@
 STALL_TIMEOUT_S = 2.0  # time without a byte after which an incomplete command no longer keeps its connection
 ERR_COMMAND_TIMEOUT = "-ERR no command came in time"
 ERR_INPUT_MEMORY = "-ERR too many unfinished commands, this one has been dropped"
-# Simple strings are not allowed: hiredis returns one as bytes, indistinguishable from a bulk string.
-COMMAND_ELEMENT_TYPES = b":-$"
 log = logging.getLogger(__name__)
 
 
@@ -84,10 +80,8 @@
     def __init__(self, host: Host, registry: ConnectionRegistry) -> None:
         self.host = host
         self.registry = registry
-        self.reader = Reader(element_types=COMMAND_ELEMENT_TYPES)
-        self.incomplete_bytes = 0  # received by the parser since the last complete command
-        self.unparsed = b""  # received, but not passed to the parser yet
-        self.counted_input = 0  # bytes of both that the registry has counted
+        self.input = CommandBuffer()
+        self.counted_input = 0  # bytes of it that the registry has counted
         self.waiting_bytes = 0  # of responses that wait for earlier ones
         self.written_bytes = 0  # of responses, passed to the transport
         self.unsent_timer: asyncio.TimerHandle | None = None
@@ -128,7 +122,7 @@
             return
         if self.closing:  # still reads, but only to detect the client's disconnect
             return
-        self.unparsed += data
+        self.input.add(data)
         self.last_received_at = asyncio.get_running_loop().time()
         self._process_commands()
 
@@ -152,7 +146,7 @@
 
     def _count_input(self) -> None:
         """Report the bytes that wait to become commands, and free some if all clients' are too many."""
-        held = self.incomplete_bytes + len(self.unparsed)
+        held = len(self.input)
         self.registry.input_count.change(held - self.counted_input)
         self.counted_input = held
         if self.registry.input_count.exceeded():
@@ -160,9 +154,8 @@
 
     def is_unfinished(self) -> bool:
         """Return whether it has received a part of a command and only waits for the rest."""
-        if not self.incomplete_bytes or self.unparsed or self.resume_handle is not None:
-            return False
-        return self._accepts_commands() and not self.transport.is_closing()
+        waits = self.input.unfinished() and self.resume_handle is None
+        return waits and self._accepts_commands() and not self.transport.is_closing()
 
     def _on_command_timeout(self) -> None:
         self.command_timer = None
@@ -182,31 +175,17 @@
             if not self._accepts_commands() or self.transport.is_closing():
                 return False
             try:
-                parts = self._next_command()
+                parts = self.input.next_command()
             except (hiredis.ProtocolError, MemoryError) as e:
                 self.close_with_error(f"-ERR {e}")
                 return False
             if parts is INCOMPLETE:
-                if self.incomplete_bytes > MAX_COMMAND_BYTES:
+                if self.input.too_long():
                     self.close_with_error("-ERR command is too long")
                 return False
             self._process_command(parts)
         return True
 
-    def _next_command(self) -> object:
-        """Return the next command's parts, or INCOMPLETE. Give the parser no more chunks than needed."""
-        while (
-            (parts := self.reader.gets()) is INCOMPLETE
-            and self.unparsed
-            and self.incomplete_bytes <= MAX_COMMAND_BYTES
-        ):
-            chunk, self.unparsed = self.unparsed[:PARSE_CHUNK_BYTES], self.unparsed[PARSE_CHUNK_BYTES:]
-            self.incomplete_bytes += len(chunk)
-            self.reader.feed(chunk)
-        if parts is not INCOMPLETE:
-            self.incomplete_bytes = self.reader.buffered()
-        return parts
-
     def _process_command(self, parts: object) -> None:
         slot = Slot()
         self.slots.append(slot)
@@ -272,8 +251,7 @@
     def close_with_error(self, error: str) -> None:
         """Send an error line and close the connection, as the start of the next command is unknown."""
         self.closing = True
-        self.unparsed, self.incomplete_bytes = b"", 0
-        self.reader = Reader(element_types=COMMAND_ELEMENT_TYPES)  # frees what it has buffered
+        self.input.clear()
         self._count_input()
         slot = Slot()
         self.slots.append(slot)
@@ -327,19 +305,13 @@
 
     def is_idle(self) -> bool:
         """Return whether no response is outstanding and no byte of a further command has arrived."""
-        if self.slots or self.incomplete_bytes or self.unparsed or self.transport.is_closing():
+        if self.slots or len(self.input) or self.transport.is_closing():
             return False
         return not readable(self.transport)
 
     def is_stalled(self) -> bool:
         """Return whether it only waits for the rest of a command, of which no bytes are coming."""
-        if (
-            self.slots
-            or not self.incomplete_bytes
-            or self.unparsed
-            or self.has_unsent()
-            or self.transport.is_closing()
-        ):
+        if self.slots or not self.input.unfinished() or self.has_unsent() or self.transport.is_closing():
             return False
         silence = asyncio.get_running_loop().time() - self.last_received_at
         return silence > STALL_TIMEOUT_S and not readable(self.transport)
@@ -413,6 +385,6 @@
         for timer in (self.linger_timer, self.unsent_timer):
             if timer is not None:
                 timer.cancel()
-        self.unparsed, self.incomplete_bytes = b"", 0
+        self.input.clear()
         self._count_input()
         self._abandon_requests()
--- a/brackenwalk/net/usage.py
+++ b/brackenwalk/net/usage.py
@@ -50,7 +50,7 @@
         recent_ids=len(host.recent_ids),
         attempts=sum(len(t.attempts) for t in tracked),
         clients=len(clients),
-        input_bytes=sum(c.incomplete_bytes + len(c.unparsed) for c in clients),
+        input_bytes=sum(len(c.input) for c in clients),
         unsent_bytes=sum(c.unsent_bytes() for c in clients),
         server_connections=sum(len(p.connections) for p in pools),
         servers=len(host.members),
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -122,7 +122,7 @@
 
 def unfinished(router: RouterHarness) -> int:
     """Return how many clients have sent nearly all of a long write."""
-    return sum(c.incomplete_bytes > MAX_VALUE_BYTES for c in router.listener.connections)
+    return sum(len(c.input) > MAX_VALUE_BYTES for c in router.listener.connections)
 
 
 def test_unfinished_commands_are_bounded_in_bytes() -> None:
@@ -168,7 +168,7 @@
             while connection.transport.is_reading():
                 await asyncio.sleep(0)
             await run_loop()
-            assert len(connection.unparsed) + connection.incomplete_bytes <= READ_BYTES
+            assert len(connection.input) <= READ_BYTES
 
     run(scenario)
 
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -13,7 +13,8 @@
 from brackenwalk import interface as api
 from brackenwalk.net import clients
 from brackenwalk.net import host as hosts
-from brackenwalk.net.clients import MAX_COMMAND_BYTES, MAX_PIPELINED
+from brackenwalk.net.clients import MAX_PIPELINED
+from brackenwalk.net.command_buffer import MAX_COMMAND_BYTES
 from tests.loopback import (
     HIT,
     MISS,
@@ -492,7 +493,7 @@
             client.close()
             await wait_for_disconnects(router)
             assert await cache.wait_closed()
-            assert connection.incomplete_bytes + len(connection.unparsed) <= 100_000 + 65_536
+            assert len(connection.input) <= 100_000 + 65_536
 
     run(scenario)
 
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -13,7 +13,8 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net import listener
-from brackenwalk.net.clients import MAX_COMMANDS_PER_TURN, PARSE_CHUNK_BYTES, ClientConnection
+from brackenwalk.net.clients import MAX_COMMANDS_PER_TURN, ClientConnection
+from brackenwalk.net.command_buffer import PARSE_CHUNK_BYTES
 from tests.loopback import HIT, Link, RouterHarness, command, read, run
 from tests.test_terms_clients import NEVER_S, LargeHarness, close_now, paused_client, run_loop, send_now
 
