Close connections with unfinished commands in a loop, not each from within another

Cause: a close counted the bytes that it gave back, and the count closed the next one while all were still too many: with hundreds of short unfinished commands the calls nested past Python's limit, and the others stayed until their first-command time. Found by reading. The test with 400 of them fails on the commit before (they get the line for a command that did not come in time).

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -140,17 +140,17 @@
             self._schedule_resume()
         self._update_reading()
         self._count_input()
+        if self.registry.input_count.exceeded():
+            self.registry.free_input()
         if self.is_unfinished() and self.command_timer is None:
             loop = asyncio.get_running_loop()
             self.command_timer = loop.call_later(COMMAND_TIMEOUT_S, self._on_command_timeout)
 
     def _count_input(self) -> None:
-        """Report the bytes that wait to become commands, and free some if all clients' are too many."""
+        """Report the bytes that wait to become commands."""
         held = len(self.input)
         self.registry.input_count.change(held - self.counted_input)
         self.counted_input = held
-        if self.registry.input_count.exceeded():
-            self.registry.free_input()
 
     def is_unfinished(self) -> bool:
         """Return whether it has received a part of a command and only waits for the rest."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -20,7 +20,7 @@
 from brackenwalk.net.memory import DEFAULT_LIMITS, MIB, limits_for
 from tests.loopback import SETTINGS, Link, RouterHarness, ScriptedServer, book, command, read, run
 from tests.test_net_host import error
-from tests.test_terms_clients import RawClient, SkippedClock, run_loop, send_now
+from tests.test_terms_clients import NEVER_S, RawClient, SkippedClock, run_loop, send_now
 
 LONG_VALUE = bytes(MAX_VALUE_BYTES)
 LONG_HIT = b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (len(LONG_VALUE), LONG_VALUE)
@@ -125,8 +125,9 @@
     return sum(len(c.input) > MAX_VALUE_BYTES for c in router.listener.connections)
 
 
-def test_unfinished_commands_are_bounded_in_bytes() -> None:
+def test_unfinished_commands_are_bounded_in_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against: clients that stop in the middle of long writes fill the router's memory."""
+    monkeypatch.setattr(clients, "FIRST_COMMAND_TIMEOUT_S", NEVER_S)
     limits = replace(DEFAULT_LIMITS, client_input=4 * MAX_VALUE_BYTES)
     stopping = 8
     whole = book("w1", value=LONG_VALUE)
@@ -156,6 +157,28 @@
     run(scenario)
 
 
+def test_many_short_unfinished_commands_are_closed_for_a_long_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: closing hundreds of connections, each from within the close of the one before."""
+    monkeypatch.setattr(clients, "FIRST_COMMAND_TIMEOUT_S", NEVER_S)
+    short, count = read("r1")[:40], 400
+    limits = replace(DEFAULT_LIMITS, client_input=count * len(short))
+
+    async def scenario() -> None:
+        async with RouterHarness(limits=limits, client_budget=1024) as router:
+            peers = [await router.client() for _ in range(count)]
+            for peer in peers:
+                peer.write(short)
+            while router.listener.input_count.held < limits.client_input:
+                await asyncio.sleep(0)
+            last = await router.client()
+            last.write(book("w1", value=LONG_VALUE)[: limits.client_input])
+            for peer in peers:
+                assert "unfinished" in error(await peer.resp())
+            assert router.listener.input_count.held <= limits.client_input
+
+    run(scenario)
+
+
 def test_unread_commands_behind_open_ones_are_bounded_in_bytes() -> None:
     """Guards against: each client that pipelines makes the router hold a read of 256 KiB."""
 
