--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -28,9 +28,8 @@
 LINGER_UNSENT_S = 10.0  # the same for a client that has not yet read all its responses
 LINGER_READ_BYTES = 1 << 20  # limit on the bytes read and discarded while lingering
 COMMAND_TIMEOUT_S = 10.0  # time from the first to the last byte of a further command
-READ_BYTES = (
-    16 * 1024
-)  # limit on the bytes read from a client at once, which wait while its commands are held
+# Limit on the bytes read from a client at once, which are held while its earlier commands are open.
+READ_BYTES = 16 * 1024
 SMALL_RESPONSE_BYTES = 256  # refusals and errors, which are always held until the client reads them
 STALL_TIMEOUT_S = 2.0  # time without a byte after which an incomplete command no longer keeps its connection
 ERR_COMMAND_TIMEOUT = "-ERR no command came in time"
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -36,6 +36,13 @@
     return command("C.SET", "k", request_id, f"c={class_name},d=600000", LONG_VALUE)
 
 
+async def answer_from_origin(router: RouterHarness) -> None:
+    """Wait until the origin has a request on a new connection, and answer it with `receipt`."""
+    origin = await router.origin.link()
+    await origin.http()
+    origin.write(http("200 OK", b"receipt"))
+
+
 def test_refused_writes_of_an_unknown_class_are_not_held() -> None:
     """Guards against: values of refused writes stay until the client's deadline, and the router is killed."""
 
@@ -62,9 +69,7 @@
         async with RouterHarness() as router:
             client = await router.client()
             client.write(long_write("w1"))
-            origin = await router.origin.link()
-            await origin.http()
-            origin.write(http("200 OK", b"receipt"))
+            await answer_from_origin(router)
             assert await client.resp() == b"receipt"
             assert live_commands() == 0 and not router.host.requests
 
@@ -198,10 +203,8 @@
             else:
                 client = await router.client()
                 client.write(long_write("w1"))
-                origin = await router.origin.link()
-                await origin.http()
-                origin.write(http("200 OK", b"value"))
-            assert await client.resp() == b"value"
+                await answer_from_origin(router)
+            assert await client.resp() == (b"value" if server == "cache" else b"receipt")
             assert handles and all(h.cancelled() for h in handles)
 
     run(scenario)
@@ -225,9 +228,7 @@
             used = measure(router.host, router.listener, (router.cache_pool, router.origin_pool))
             assert used.request_bytes <= limits.open_requests
             for _ in range(room):
-                origin = await router.origin.link()
-                await origin.http()
-                origin.write(http("200 OK", b"receipt"))
+                await answer_from_origin(router)
             assert [await a for a in answers].count(b"receipt") == room
             assert router.host.router.open_bytes == 0
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -127,6 +127,13 @@
     )
 
 
+def peak_mib(pid: int) -> float:
+    """Return the largest resident memory of a process so far."""
+    memory = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
+    assert memory is not None
+    return int(memory[1]) / 1024
+
+
 async def launch(path: Path, config: dict[str, Any]) -> asyncio.subprocess.Process:
     """Start a router process with a configuration at this path; its log is on standard error."""
     path.write_bytes(orjson.dumps(config))
@@ -255,10 +262,8 @@
                 await cache_link.resp()
                 cache_link.write(HIT)
                 assert await client.resp() == b"value"
-                status = Path(f"/proc/{process.pid}/status").read_text()
-                memory = re.search(r"VmHWM:\s+(\d+) kB", status)
                 # Two thirds of the memory that the smallest deployment grants.
-                assert memory is not None and int(memory[1]) < 64 * 1024
+                assert peak_mib(process.pid) < 64
             finally:
                 process.kill()
                 await process.wait()
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -12,7 +11,7 @@
 
 from brackenwalk.net.command import MAX_VALUE_BYTES
 from tests.loopback import Link, ScriptedServer, command, read
-from tests.test_main import VALID_CONFIG, connect_ready, launch, listening_address
+from tests.test_main import VALID_CONFIG, connect_ready, launch, listening_address, peak_mib
 from tests.test_net_discovery import ENTRY
 from tests.test_wirehost import SETTINGS_TABLE
 
@@ -88,13 +87,6 @@
         tasks.add(asyncio.create_task(serve_link(await server.link())))
 
 
-def peak_mb(pid: int) -> float:
-    status = Path(f"/proc/{pid}/status").read_text()
-    match = re.search(r"VmHWM:\s+(\d+) kB", status)
-    assert match is not None
-    return int(match[1]) / 1024
-
-
 @pytest.mark.parametrize(
     ("play", "response"),
     [
@@ -129,7 +121,7 @@
             try:
                 await play(address)
                 assert process.returncode is None
-                assert peak_mb(process.pid) < MEMORY_MB
+                assert peak_mib(process.pid) < MEMORY_MB
             finally:
                 process.kill()
                 await process.wait()
