--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -130,6 +130,14 @@
         host.on_discovery_moved()
 
 
+async def wait_for_any(*events: asyncio.Event) -> None:
+    """Wait until one of the events is set."""
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 async def serve(path: str, turns: TurnSelector | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then until the accepted requests are answered."""
     config = read_config(read_file(path))
@@ -170,6 +178,8 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, terminated.set)
     loop.add_signal_handler(signal.SIGHUP, reload_config, path, discovery, host)
+    # Requests that came before the servers are placed would all go to the origin.
+    await wait_for_any(host.settled, terminated)
     try:
         listener.start(config.listen)
     except OSError as e:
--- a/brackenwalk/demand.py
+++ b/brackenwalk/demand.py
@@ -6,56 +6,26 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
-import struct
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from typing import TypeVar
 
+from brackenwalk.peer_message import MAX_KEYS, decode_message, encode_message
+
 # of the mean capacity of servers (in policy.py, of a cold server's fair share): keys below it are not split
 HOT_KEY_SHARE = 0.25
 RECENT_SHARE = 0.125  # of the history: the short window that shows keys that have just turned hot
 HISTORY_REQUESTS = 128.0  # window per server, in which a key at the threshold of hot has about thirty
-DIGEST_BYTES = 4  # a damaged message does not match its digest
-FORMAT_ID = b"told 2"  # part of the digest, so that routers of a version with another format skip the message
-HEADER = struct.Struct(">HHB")  # time sent, number of all requests, number of key entries
-TIMESTAMP_UNIT_S = 0.01  # the 16 bits of the time sent wrap round after eleven minutes
-TIMESTAMP_RANGE = 1 << 16
-SERVER_ID = struct.Struct(">I")  # hash of an unhealthy server's name; the ids follow the key entries
-MAX_SERVERS = 24  # in a message
-KEY_ENTRY = struct.Struct(">IB")  # a key's hash and its number of requests
-MAX_COUNT = 255  # of requests in a key entry
 MAX_COUNTED_KEYS = 32_768  # of each window, whatever the peers send
 MAX_UNSENT_KEYS = 4096  # own keys since the last message; without servers there is none for long
 OVERFLOW_FACTOR = 8.0  # of a window, above which counts are halved without waiting for the next plan
 MAX_DEFERRED_KEYS = 1024  # the most requested ones; the others are dropped
-MAX_KEYS = 30  # in a message; with MAX_SERVERS they fit into the 256 bytes that it may have
+WALK_COST = 16  # of a walk, in units of looking up a key's server
 
 S = TypeVar("S")
 
 
-def with_digest(body: bytes) -> bytes:
-    """Return the message that consists of a body and, in front of it, its digest."""
-    return hashlib.blake2b(body, digest_size=DIGEST_BYTES, person=FORMAT_ID).digest() + body
-
-
-def timestamp_of(now: float) -> int:
-    """Return a time in seconds as the 16 bits that a message carries."""
-    return int(now / TIMESTAMP_UNIT_S) % TIMESTAMP_RANGE
-
-
-def encode_message(total: int, keys: list[tuple[int, int]], unhealthy: list[int], now: float) -> bytes:
-    """Return a message with the total of requests, counts by key, and unhealthy servers.
-
-    The message is empty if there are neither counts nor servers.
-    """
-    entries = [KEY_ENTRY.pack(key, min(MAX_COUNT, count)) for key, count in keys]
-    servers = [SERVER_ID.pack(server) for server in unhealthy[:MAX_SERVERS]]
-    header = HEADER.pack(timestamp_of(now), total, len(entries))
-    return with_digest(b"".join((header, *entries, *servers))) if entries or servers else b""
-
-
 class DecayingCounts:
     """Request counts by key over a window of a number of requests.
 
@@ -67,20 +37,12 @@
         self.counts: Counter[int] = Counter()
         self.total = 0.0
 
-    def decay(self, servers: int) -> None:
-        """Halve all counts until their total is within the window."""
-        while self.total > self.window * servers:
-            self._halve()
-
-    def limit(self, servers: int) -> None:
-        """Halve all counts while there are far too many of them, for routers that make no plans."""
-        window = self.window * max(1, servers)
-        while self.total > OVERFLOW_FACTOR * window or len(self.counts) > MAX_COUNTED_KEYS:
-            self._halve()
-
-    def _halve(self) -> None:
-        self.counts = Counter({k: n // 2 for k, n in self.counts.items() if n > 1})
-        self.total /= 2
+    def decay(self, servers: int, factor: float = 1.0) -> None:
+        """Halve all counts while there are too many, or while their total is over `factor` windows."""
+        window = factor * self.window * max(1, servers)
+        while self.total > window or len(self.counts) > MAX_COUNTED_KEYS:
+            self.counts = Counter({k: n // 2 for k, n in self.counts.items() if n > 1})
+            self.total /= 2
 
     def share(self, key: int) -> float:
         """Return a key's share of the requests counted; 1 while there are none."""
@@ -110,18 +72,13 @@
 
     def limit(self, servers: int) -> None:
         """Bound the counts of a router that makes no plans: it has no requests, or no servers."""
-        self.history.limit(servers)
-        self.recent.limit(servers)
+        self.history.decay(servers, OVERFLOW_FACTOR)
+        self.recent.decay(servers, OVERFLOW_FACTOR)
 
     def share(self, key: int) -> float:
         """Return the higher estimate of a key's share: the short window shows keys that just turned hot."""
         return max(self.history.share(key), self.recent.share(key))
 
-    def message_size(self, servers: int) -> int:
-        """Return the size in bytes of a message with all unsent counts and a number of unhealthy servers."""
-        keys = min(MAX_KEYS, len(self.unsent) + len(self.deferred))
-        return DIGEST_BYTES + HEADER.size + keys * KEY_ENTRY.size + min(MAX_SERVERS, servers) * SERVER_ID.size
-
     def next_message(self, unhealthy: list[int], with_keys: bool = True, now: float = 0.0) -> bytes:
         """Return a message with the counts not sent yet, the most requested keys first; empty if none."""
         counts, self.unsent = self.unsent, Counter()
@@ -138,26 +95,19 @@
 
         Ignore, but count, an invalid message and one that was delayed for longer than `max_age`.
         """
-        body = message[DIGEST_BYTES:]
-        if len(body) < HEADER.size or with_digest(body) != message:
-            self.invalid += 1
-            return set()
-        sent_at, total, count = HEADER.unpack_from(body)
-        end = HEADER.size + count * KEY_ENTRY.size
-        if len(body) < end or (len(body) - end) % SERVER_ID.size:
+        content = decode_message(message)
+        if content is None:
             self.invalid += 1
             return set()
         # The machines' clocks are synchronized, but a time sent may be slightly ahead of this one's clock.
-        age = (timestamp_of(now) - sent_at + TIMESTAMP_RANGE // 2) % TIMESTAMP_RANGE - TIMESTAMP_RANGE // 2
-        if abs(age) * TIMESTAMP_UNIT_S > self.max_age:
+        if abs(content.age(now)) > self.max_age:
             self.stale += 1
             return set()
-        entries = list(KEY_ENTRY.iter_unpack(body[HEADER.size : end]))
         for counter in (self.history, self.recent):
-            counter.total += total
-            for key, requests in entries:
+            counter.total += content.total
+            for key, requests in content.keys:
                 counter.counts[key] += requests
-        return {server for (server,) in SERVER_ID.iter_unpack(body[end:])}
+        return content.unhealthy
 
     def split_hot_keys(
         self,
@@ -166,9 +116,11 @@
         clockwise: Callable[[int], Iterator[S]],
         max_part: Callable[[int, S], float],
         sole_server: Callable[[int], S | None] = lambda position: None,
-    ) -> dict[int, dict[S, float]]:
+    ) -> Generator[int, None, dict[int, dict[S, float]]]:
         """Return for each hot key the share of all requests that each server takes of it.
 
+        Yields the cost of each step on the way.
+
         The hottest key comes first, and each fills the free capacity of servers clockwise. A server's
         capacity is its fair share of all requests times `load_bound`; of one key it takes the share
         `max_part` at most. `sole_server` returns the server that takes all requests for a key, given its
@@ -187,6 +139,7 @@
         for key, share in shares.items():
             if share <= threshold and (only := sole_server(key << 32)) is not None:
                 free[only] -= share
+                yield 1
                 continue
             left = share
             for server in clockwise(key << 32):
@@ -197,6 +150,7 @@
                     unsplit.setdefault(key, {})[server] = part
                 if left <= 0:
                     break
+            yield WALK_COST
         portions: dict[int, dict[S, float]] = {}
         for share, key in sorted(((shares[k], k) for k in unsplit), reverse=True):
             for server, part in unsplit[key].items():
@@ -213,4 +167,5 @@
             warm = {s: fair_shares[s] for s in taken if max_part(key, s) >= 1}
             for server, f in warm.items():
                 taken[server] += max(0.0, left) * f / sum(warm.values())
+            yield WALK_COST
         return portions
--- a/brackenwalk/discovery_calls.py
+++ b/brackenwalk/discovery_calls.py
@@ -17,8 +17,7 @@
 from brackenwalk.shares import POLL_SHARE
 
 TURN_S = 0.125  # of 40 calls at once, only 16 were answered within the 2 s that a call may be queued
-# Time over which the first calls to a new discovery are spread: watches at the old one last for another
-# 1.5 s, and after 4 s routers have to know what the new one has listed.
+# over which the first calls to a new discovery are spread; after 4 s routers have to know what it has listed
 MOVE_SPREAD_S = 1.0
 PROPAGATION_S = 6.0  # after a change was listed, routers have to know it
 MAX_ROUND_S = 5.0  # shorter than PROPAGATION_S, as the call of the last turn still has to be answered
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -207,6 +207,11 @@
     token: str
 
 
+@dataclass(slots=True, frozen=True)
+class Resume:
+    """The events that were due at a `ResumeLater` have been handled."""
+
+
 @dataclass(slots=True, frozen=True)
 class PeerMessage:
     """A message from another router; it may be corrupt."""
@@ -214,7 +219,17 @@
     content: bytes
 
 
-Event = PeerMessage | ServerList | Request | ResponseStarted | Outcome | ClientGone | Shutdown | TimerFired
+Event = (
+    PeerMessage
+    | ServerList
+    | Request
+    | ResponseStarted
+    | Outcome
+    | ClientGone
+    | Shutdown
+    | TimerFired
+    | Resume
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -268,6 +283,14 @@
     request_id: str | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class ResumeLater:
+    """Deliver a `Resume` as soon as the events that are due now have been handled.
+
+    The module has work left that would take too long at once.
+    """
+
+
 @dataclass(slots=True, frozen=True)
 class Subscribe:
     """Ask discovery for the server list and all changes from now on."""
@@ -287,4 +310,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | CloseIdle | SetTimer | Subscribe | Broadcast | Log
+Action = Send | Refuse | Fail | Cancel | CloseIdle | SetTimer | ResumeLater | Subscribe | Broadcast | Log
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -76,6 +76,9 @@
         self.shutdown_deadline = math.inf  # upper bound of the deadlines of all requests
         self.events: deque[api.Event] = deque()
         self.handling = False
+        self.resume_requested = False
+        self.settled = asyncio.Event()  # whether the module has no work left of the latest lists
+        self.settled.set()
 
     def post(self, event: api.Event) -> None:
         """Pass an event to the module. Events posted while actions are carried out are queued."""
@@ -122,6 +125,10 @@
                     self._pool_of(action.server).close_idle(self.members[action.server].address)
             case api.SetTimer():
                 self._set_timer(action)
+            case api.ResumeLater():
+                self.resume_requested = True
+                self.settled.clear()
+                asyncio.get_running_loop().call_soon(self._resume)
             case api.Subscribe():
                 self.subscribe()
             case api.Broadcast():
@@ -142,6 +149,13 @@
         """Return whether the list has a cache server that accepts new requests."""
         return any(m.entry.ready and not self._is_origin(m) for m in self.members.values())
 
+    def _resume(self) -> None:
+        """Let the module take a step; it asks for another one if work is left."""
+        self.resume_requested = False
+        self.post(api.Resume())
+        if not self.resume_requested:
+            self.settled.set()
+
     def on_list_failed(self) -> None:
         """Report to the module that a call to discovery failed."""
         self.post(api.ServerList(api.ListKind.FAILED))
--- a/brackenwalk/peer_updates.py
+++ b/brackenwalk/peer_updates.py
@@ -9,7 +9,8 @@
 import random
 
 from brackenwalk import interface as api
-from brackenwalk.demand import MAX_SERVERS, Demand
+from brackenwalk.demand import Demand
+from brackenwalk.peer_message import MAX_SERVERS, message_size
 from brackenwalk.state import Server
 
 INTERVAL_FACTOR = 0.25  # of the shortest aim, between two messages: peers know a hot key well within that aim
@@ -36,10 +37,6 @@
         """Have an unhealthy server reported in the next message."""
         self.unhealthy[server] = None
 
-    def receive(self, content: bytes, now: float) -> set[int]:
-        """Take a peer's message and return the ids of the servers that it reports as unhealthy."""
-        return self.demand.receive(content, now)
-
     def remove_unhealthy(self, server: Server) -> None:
         """Have a server reported no more, because it has left the list or a peer has just reported it."""
         self.unhealthy.pop(server, None)
@@ -53,10 +50,10 @@
 
     def next_message(self, now: float) -> bytes:
         """Return the next message of 0 to 256 bytes: unhealthy servers, and counts as the bound permits."""
-        size = UDP_OVERHEAD_BYTES + self.demand.message_size(len(self.unhealthy))
-        send_probability = min(
-            self.sent_share, MAX_BYTES_PER_S * self.interval / (self.settings.siblings * size)
-        )
+        keys = len(self.demand.unsent) + len(self.demand.deferred)
+        size = UDP_OVERHEAD_BYTES + message_size(keys, len(self.unhealthy))
+        bound = MAX_BYTES_PER_S * self.interval / (self.settings.siblings * size)
+        send_probability = min(self.sent_share, bound)
         with_keys = self.settings.peer_messages and self.random.random() < send_probability
         # servers beyond MAX_SERVERS are reported in the next message
         reported = list(self.unhealthy)[: MAX_SERVERS if self.settings.peer_messages else 0]
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -14,34 +14,25 @@
 from brackenwalk import interface as api
 from brackenwalk.demand import HOT_KEY_SHARE
 from brackenwalk.discovery_calls import DiscoveryCalls
+from brackenwalk.membership import Membership
 from brackenwalk.peer_updates import PeerUpdates
-from brackenwalk.ring import Ring, ring_hash
+from brackenwalk.ring import ring_hash
 from brackenwalk.shares import CACHE_TARGET_SHARE, EPSILON, TrafficShares
 from brackenwalk.state import Attempt, PendingRequest, Server
 
-MAX_KINDS = 1024  # of servers whose largest weight is remembered after they have left the list
-VNODES = 128  # of a server of unit weight; its share of the keys is then right within about 10 %
-MAX_WALK_NODES = 64  # bounds the cost of a request when every server is at its limit
 FREE_RETRY_SHARE = 0.3  # of successful attempts: above it, retries after a BUSY are cheap and cost no budget
 MAX_WAIT_SHARE = 0.25  # of the time left, that a request may wait behind a server's reported load
-# full servers after which a walk ends: those further on have not cached the key, so hits would become misses
-MAX_SPILL = 2
+MAX_SPILL = 2  # full servers after which a walk ends: those further on have not cached the key
 ORIGIN_TARGET_SHARE = 0.5  # of the aim, like CACHE_TARGET_SHARE; an origin is slow by nature
-# times the origin's usual latency that a fetch must have left: one cut short by its client is not even stored
-FETCH_FACTOR = 2.0
+FETCH_FACTOR = 2.0  # times the origin's usual latency that a fetch must have left, or it is not even stored
 EWMA_WEIGHT = 0.2  # of the latest sample: averages cover about the last five answers
 LIMIT_FACTOR = 0.75  # of each cut: empties an overloaded server in a few round trips; 0.9 took many seconds
-# retries that each request adds to the budget: enough for one lost server, too few to feed an overload
-RETRY_SHARE = 0.2
+RETRY_SHARE = 0.2  # that each request adds to the budget: enough for a lost server, too few for an overload
 MAX_RETRY_BUDGET = 10.0  # unspent retries kept, enough to send all requests of a lost server again at once
 LOST_FACTOR = 8.0  # times the usual latency after which the router takes an answer for lost
-# shortest aims without any answer, after which a router takes a server for silent: longer than usual pauses,
-# and soon enough to send its requests elsewhere in time
-SILENT_AIMS = 1.0
+SILENT_AIMS = 1.0  # shortest aims without any answer, after which a router takes a server for silent
 MAX_FAILURES = 3  # in a row, too many for chance; from then on there is one trial every SILENT_AIMS
-# of the idle time after which keeping a connection open has cost as much as a new handshake: the time that an
-# idle connection is kept
-KEEP_SHARE = 0.5
+KEEP_SHARE = 0.5  # of the idle time that costs as much as a handshake: so long a connection is kept
 KEEP_RECOVERY_SHARE = 0.01  # of the way back to KEEP_SHARE per outcome; each failed dial halves the share
 NO_ANSWER = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.UNSENT)
 
@@ -54,14 +45,14 @@
         self.shortest_aim = settings.shortest_aim
         self.now, self.random = now, random.Random(seed)
         self.actions: list[api.Action] = []
-        self.servers: dict[str, Server] = {}
-        self.servers_by_hash: dict[int, Server] = {}  # by the hash that stands for the name in peer messages
-        self.ring: Ring[Server] = Ring()
         self.discovery_calls = DiscoveryCalls(settings, self.random, now)
         self.peer_updates = PeerUpdates(settings, self.random, now)
         self.demand = self.peer_updates.demand
         self.shares = TrafficShares(settings, self.demand, now)
-        self.largest_weights: dict[str, float] = {}  # the largest listed weight seen of each kind of server
+        self.membership = Membership(settings, self.shares, self.peer_updates)
+        self.servers, self.ring = self.shares.servers, self.shares.ring
+        self.caches = self.shares.caches  # cache servers that are ready and on the ring
+        self.resume_requested = False  # an `api.Resume` is to come
         self.pending_requests: dict[str, PendingRequest] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: list[tuple[float, int, PendingRequest]] = []  # by priority, then age
@@ -70,7 +61,6 @@
         self.retry_budget, self.keep_share = MAX_RETRY_BUDGET, KEEP_SHARE
         self.started_at = now
         self.stop_at = math.inf  # deadline of all requests during shutdown
-        self._build_ring()
         # smoothed latency at caches per unit of load: 1 for the request itself, plus the load reported there
         self.mean_wait = 0.0
 
@@ -86,16 +76,18 @@
         elif isinstance(event, api.ServerList):
             self._on_list(event)
         elif isinstance(event, api.PeerMessage):
-            unhealthy = self.peer_updates.receive(event.content, now)
+            unhealthy = self.demand.receive(event.content, now)
             self.demand.limit(len(self.caches))
-            for name_hash in unhealthy:
-                if name_hash in self.servers_by_hash:
-                    self.shares.cut_health(self.servers_by_hash[name_hash])
-                    self.peer_updates.remove_unhealthy(self.servers_by_hash[name_hash])
+            for name_hash in unhealthy & self.membership.servers_by_hash.keys():
+                server = self.membership.servers_by_hash[name_hash]
+                self.shares.cut_health(server)
+                self.peer_updates.remove_unhealthy(server)
         elif isinstance(event, api.ClientGone) and event.request_id in self.pending_requests:
             self._remove(self.pending_requests[event.request_id])
         elif isinstance(event, api.ResponseStarted) and event.request_id in self.pending_requests:
             self.pending_requests[event.request_id].response_started = True
+        elif isinstance(event, api.Resume):
+            self._on_resume()
         elif isinstance(event, api.Shutdown):
             self._on_shutdown(event)
         return self.actions
@@ -111,84 +103,49 @@
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             self.actions.append(api.SetTimer(self.discovery_calls.delay_after_failure(self.now), "list"))
-            self.actions.append(
-                api.Log(f"discovery out of reach, {self.discovery_calls.failures} in a row; list kept")
-            )
+            failures = self.discovery_calls.failures
+            self.actions.append(api.Log(f"discovery out of reach, {failures} in a row; list kept"))
             return
         if event.kind is api.ListKind.MOVED:
             self.actions.append(api.SetTimer(self.discovery_calls.delay_after_move(), "list"))
             return
-        if event.kind is not api.ListKind.DELTA:
-            for name in self.servers.keys() - {e.server for e in event.entries}:
-                self._remove_server(name)
-        for entry in event.entries:
-            known = self.servers.get(entry.server)
-            if entry.state is api.ServerState.GONE:
-                self._remove_server(entry.server)
-            elif known is None or entry.started_at > known.entry.started_at:  # a new process: measure anew
-                self._remove_server(entry.server)
-                origin = self.settings.aside and entry.kind == self.settings.origin_kind
-                name_hash = ring_hash(entry.server)[0] >> 32
-                self.servers[entry.server] = self.servers_by_hash[name_hash] = Server(
-                    entry, not origin, name_hash
-                )
-            else:
-                known.entry = entry
         if event.entries or event.kind is not api.ListKind.DELTA:
             # Skipped when a watch ends without changes, which happens every few seconds.
-            self._build_ring()
+            self.membership.apply(event)
+            self.membership.step()  # which is all that a small change needs
+            self._request_resume()
         if event.kind is not api.ListKind.SAVED:
             self.discovery_calls.list_received(self.now)
         elif self.settings.subscribe:
             # Routers that start together would otherwise call together. Discovery serves one call after
             # another, so many calls would time out in its queue, and it would still work them off.
             self.actions.append(api.SetTimer(self.discovery_calls.delay_until_turn(self.now), "list"))
+        self._advance_waiting()
+
+    def _on_resume(self) -> None:
+        """Take the next step of working in the server list."""
+        self.resume_requested = False
+        try:
+            if self.membership.step():
+                self._advance_waiting()
+        finally:
+            self._request_resume()
+
+    def _request_resume(self) -> None:
+        if self.ring.has_work() and not self.resume_requested:
+            self.resume_requested = True
+            self.actions.append(api.ResumeLater())
+
+    def _advance_waiting(self) -> None:
+        """Advance the queued requests after a change of the servers."""
         queue, self.queue = sorted(self.queue), []
         for pending in (q[2] for q in queue if q[2].waiting):
             pending.waiting = False
             self._advance(pending)
 
-    def _remove_server(self, name: str) -> None:
-        if name in self.servers:
-            server = self.servers.pop(name)
-            self.ring.set_virtual_nodes(server, name, 0)
-            self.servers_by_hash.pop(server.name_hash, None)
-            self.peer_updates.remove_unhealthy(server)
-
-    def _build_ring(self) -> None:
-        """Place servers by their own weight alone, so that others joining or leaving move no nodes."""
-        caches = self.caches = [s for s in self.servers.values() if s.is_cache and s.entry.ready]
-        self.origins = [s for s in self.servers.values() if not s.is_cache and s.entry.ready]
-        self.shares.update_servers(caches)
-        for cache in caches:
-            cache.ring_weight = cache.entry.weight
-            if self.settings.live_weights:
-                # Live weights fall with load and arrive late: on the ring they moved keys with every list.
-                cache.ring_weight = self.largest_weights[cache.entry.kind] = max(
-                    self.largest_weights.get(cache.entry.kind, 0.0), cache.ring_weight
-                )
-                cache.reported_load = (
-                    cache.ring_weight / cache.entry.weight - 1 if cache.entry.weight else 0.0
-                )
-        if len(self.largest_weights) > MAX_KINDS:
-            listed = {s.entry.kind for s in caches}
-            self.largest_weights = {k: w for k, w in self.largest_weights.items() if k in listed}
-        largest = max((s.ring_weight for s in caches), default=0.0) or 1.0  # also for servers without one
-        unit = 2.0 ** math.ceil(math.log2(largest))  # a power of two, which rarely changes with the fleet
-        for owner in self.servers.values():
-            owner.ring_weight = owner.ring_weight or largest
-            self.ring.set_virtual_nodes(
-                owner,
-                owner.entry.server,
-                math.ceil(VNODES * owner.ring_weight / unit) if owner.is_cache and owner.entry.ready else 0,
-            )
-        self.ring.apply_changes()
-        self.shares.total_weight = sum(s.ring_weight for s in caches)
-        self.mean_reported = sum(s.reported_load for s in caches) / max(1, len(caches))
-
     def _origin(self) -> Server | None:
         """Return the ready origin with the fewest requests in flight."""
-        return min(self.origins, key=lambda s: s.in_flight, default=None)
+        return min(self.membership.origins, key=lambda s: s.in_flight, default=None)
 
     def _choose(self, pending: PendingRequest) -> Server | None:
         """Return the server for the next attempt, by a walk with bounded loads, or None if there is none.
@@ -201,7 +158,7 @@
         draw = self.random.random() * planned
         # Compared with a random part of the reported load below: all routers read the same late report, and
         # would otherwise all avoid the server until the next one.
-        load_cap = (1 + EPSILON) * max(1.0, self.mean_reported)
+        load_cap = (1 + EPSILON) * max(1.0, self.membership.mean_reported)
         full_count = 0
         fallback = None
         for server in self._clockwise(pending.ring_position):
@@ -226,7 +183,7 @@
         `planned_share` is the server's part of the plan for a hot key, and 1 for other keys.
         """
         key = pending.ring_position >> 32
-        part = self.shares.key_share(key, server) / planned_share
+        part = self.shares.key_share(key, server, self.shares.accepted_share(server)) / planned_share
         # A small key goes to the cold server as a whole or not at all, at every router: split at random, it
         # would be fetched from the origin for two servers.
         small = self.demand.share(key) < HOT_KEY_SHARE * server.ring_weight / self.shares.total_weight
@@ -236,13 +193,7 @@
 
     def _clockwise(self, position: int) -> Iterator[Server]:
         """Yield each server once, in the order of the walk."""
-        seen: set[Server] = set()
-        for server, rank in self.ring.clockwise(position, MAX_WALK_NODES):
-            # All routers skip the same nodes of an unhealthy server. Nothing spills to a cold server.
-            if server in seen or rank > self.shares.kept(server) or (seen and self.shares.is_cold(server)):
-                continue
-            seen.add(server)
-            yield server
+        return self.shares.walk(position, self.shares.kept, self.shares.is_cold)
 
     def _refuses_early(self, pending: PendingRequest, server: Server) -> bool:
         """Whether to refuse a request at once: at random, the likelier the longer it would have to wait.
@@ -264,10 +215,7 @@
         return not (full or tried or down or self._zone_down(server)) and self._permits(pending, server)
 
     def _zone_down(self, server: Server) -> bool:
-        """Whether no server of the server's zone answers and the zone's next trial is not due yet.
-
-        A zone that does not answer gets one trial every SILENT_AIMS.
-        """
+        """Whether no server of the server's zone answers and the next trial (SILENT_AIMS) is not due."""
         zone = self.shares.zones.get(server.entry.zone) if len(self.shares.zones) > 1 else None
         if zone is None or zone.unanswered < MAX_FAILURES:
             return False
@@ -297,21 +245,20 @@
             # Above the limit on its memory the router would be killed, and lose all of them.
             self.actions.append(api.Refuse(request.id, self._retry_after(self.shortest_aim)))
             return
-        deadline = min(
-            self.stop_at, self.now + min(request.time_left - self.settings.resolution, class_settings.aim)
-        )
+        time_left = min(request.time_left - self.settings.resolution, class_settings.aim)
+        deadline = min(self.stop_at, self.now + time_left)
         position = ring_hash(request.id if request.key is None else request.key)[0]
         to_origin = self.settings.aside and request.write
-        pending = self.pending_requests[request.id] = PendingRequest(
-            request, class_settings, deadline, to_origin, position
-        )
+        pending = PendingRequest(request, class_settings, deadline, to_origin, position)
+        self.pending_requests[request.id] = pending
         self.open_bytes += request.size
         self.accepted += 1
         if not pending.to_origin:
             self.demand.add(pending.ring_position >> 32)
             self.demand.limit(len(self.caches))
         if self.caches and self.peer_updates.due(self.now):
-            self.shares.plan(self._clockwise, self.ring.owner_at)
+            for _ in self.shares.plan():
+                pass
             if message := self.peer_updates.next_message(self.now):
                 self.actions.append(api.Broadcast(message))
         self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRY_SHARE)
@@ -319,7 +266,7 @@
 
     def _permits(self, pending: PendingRequest, server: Server | None) -> bool:
         """Whether the request class permits another send to this server or, with None, a refusal."""
-        class_settings = pending.request_class
+        class_settings, group = pending.request_class, pending.request_class.repeat_group
         ran = [a for a in pending.attempts if a.may_have_run]
         waits = pending.open_attempts() and not self.settings.second_copies
         if server is not None and (waits or len(pending.attempts) >= self.settings.max_attempts):
@@ -327,27 +274,18 @@
         if class_settings.retry_safety is api.RetrySafety.SAFE or not ran:
             return True
         if class_settings.retry_safety is api.RetrySafety.UNSAFE or server is None:
-            return (
-                class_settings.retry_safety is api.RetrySafety.KEYED
-                and class_settings.repeat_group is api.RepeatGroup.ALL
-            )
+            return class_settings.retry_safety is api.RetrySafety.KEYED and group is api.RepeatGroup.ALL
         # Dialling may delay the send past the repeat window, where the repeat would have a second effect.
-        in_window = (
-            self.now + self.settings.dial_timeout < min(a.sent_at for a in ran) + class_settings.repeat_window
-        )
-        return in_window and all(
-            class_settings.repeat_group.shared_by(a.server.entry, server.entry) for a in ran
-        )
+        window_end = min(a.sent_at for a in ran) + class_settings.repeat_window
+        in_window = self.now + self.settings.dial_timeout < window_end
+        return in_window and all(group.shared_by(a.server.entry, server.entry) for a in ran)
 
     def _advance(self, pending: PendingRequest) -> None:
         """Send the next attempt, queue the request, or finish it."""
         to_ring = self.caches and not pending.to_origin
         server = self._choose(pending) if to_ring else self._origin()
-        if (
-            self.now >= pending.deadline
-            or (server is None or not self._permits(pending, server))
-            and pending.attempts
-        ):
+        barred = server is None or not self._permits(pending, server)
+        if self.now >= pending.deadline or (barred and pending.attempts):
             self._finish(pending)
         elif not to_ring:
             self._enqueue(pending)
@@ -375,17 +313,13 @@
             self.actions.append(api.SetTimer(delay, "late:" + name, name))
 
     def _send_copy(self, pending: PendingRequest, last: Attempt) -> None:
-        """Send a second copy if the answer is long overdue and its server has answered a later send.
-
-        The router then takes the request or its answer for lost.
-        """
+        """Send a second copy if the answer is lost: overdue, and its server has answered a later send."""
         late = last.open and self.now >= last.copy_at - self.settings.resolution / 2
         if late:
             self._count_unanswered(last)
         slow = last.server.last_answered_send_at <= last.sent_at and not self._zone_down(last.server)
         if late and slow:
-            # No later send was answered: the answers are late, not lost, and copies would add to the load
-            # that makes the server slow.
+            # No later send was answered: answers are late, not lost, and copies would add to the load.
             self._schedule_copy(pending, last)
         elif late and self.retry_budget >= 1:
             server = self._choose(pending) if last.server.is_cache else self._origin()
@@ -423,8 +357,7 @@
         if left < self.settings.resolution:
             self.actions.append(api.CloseIdle(server.entry.server))
         elif left < min(self.settings.idle_timeout, (server.check_at - self.now) / 2):
-            # No timer is set while an earlier one is due soon enough to check again: one for each answer
-            # would pile up in memory.
+            # None while an earlier one is due soon enough: one for each answer would pile up in memory.
             server.check_at = self.now + left
             self.actions.append(api.SetTimer(left, "idle:" + server.entry.server))
 
@@ -451,9 +384,8 @@
         del self.pending_requests[pending.request.id]
         self.open_bytes -= pending.request.size
         if self.settings.may_cancel:
-            self.actions += [
-                api.Cancel(pending.request.id, i) for i, a in enumerate(pending.attempts) if a.open
-            ]
+            open_numbers = [i for i, attempt in enumerate(pending.attempts) if attempt.open]
+            self.actions += [api.Cancel(pending.request.id, i) for i in open_numbers]
 
     def _on_outcome(self, event: api.Outcome) -> None:
         attempt = self.attempts.pop((event.request_id, event.attempt), None)
@@ -465,11 +397,9 @@
         relevant = event.status not in NO_ANSWER
         if relevant:
             attempt.server.unanswered_since = math.inf
-        # A time-out is ignored if a later send was answered: it was lost on its way, and says nothing about
-        # the server.
-        relevant |= (
-            event.status is api.Status.TIMEOUT and attempt.server.last_answered_send_at <= attempt.sent_at
-        )
+        # A time-out says nothing about a server that has answered a later send: it was lost on its way.
+        unanswered = attempt.server.last_answered_send_at <= attempt.sent_at
+        relevant |= event.status is api.Status.TIMEOUT and unanswered
         attempt.server.used_at = self.now
         failed = event.status is api.Status.CONNECT_FAILED
         if failed:
@@ -480,11 +410,8 @@
                 if zone.unanswered >= MAX_FAILURES and len(self.shares.zones) > 1:
                     self.shares.zone_recovered(zone)
                 zone.last_answer_at, zone.unanswered = self.now, 0
-        self.keep_share = (
-            self.keep_share / 2
-            if failed
-            else self.keep_share + KEEP_RECOVERY_SHARE * (KEEP_SHARE - self.keep_share)
-        )
+        recovery = KEEP_RECOVERY_SHARE * (KEEP_SHARE - self.keep_share)
+        self.keep_share = self.keep_share / 2 if failed else self.keep_share + recovery
         self._close_idle(attempt.server)
         if relevant:
             self._update_limit(attempt, event)
@@ -500,24 +427,20 @@
 
     def _after_failure(self, pending: PendingRequest, event: api.Outcome) -> None:
         """Go to the origin after a miss; after any other failure retry while the retry budget lasts."""
+        costly_busy = event.status is api.Status.BUSY and self.shares.success_share >= FREE_RETRY_SHARE
         if event.status is api.Status.MISS and self.settings.aside:
             pending.to_origin = True
         elif event.status is api.Status.ERROR and not self.settings.aside:
             # Each further server would fetch from the failing origin again.
             pending.deadline = self.now
-        elif not pending.to_origin and (
-            event.status is not api.Status.BUSY or self.shares.success_share < FREE_RETRY_SHARE
-        ):
+        elif not pending.to_origin and not costly_busy:
             # Without a budget, each request became a dozen attempts at busy servers, which fed the overload.
             pending.deadline = pending.deadline if self.retry_budget >= 1 else self.now
             self.retry_budget = max(0.0, self.retry_budget - 1)
         self._advance(pending)
 
     def _enqueue(self, pending: PendingRequest) -> None:
-        """Queue a request for the origin, or until any server is listed, by priority and then age.
-
-        Without priorities, writes would wait behind the misses of reads.
-        """
+        """Queue a request for the origin, or until any server is listed: writes before misses of reads."""
         pending.waiting = True
         self._set_wait_timer(pending)
         self.queue_sequence += 1
@@ -543,15 +466,13 @@
             if not pending.waiting:
                 continue
             pending.waiting = False
-            # A fetch that would come back too late is not sent, except for one at a time that measures the
-            # origin's latency.
+            # A fetch that would come back too late is not sent, but for one that measures the latency.
             fits = self.now < (self._latest_start(pending, origin) if origin.in_flight else pending.deadline)
             if fits and self._permits(pending, origin):
                 self._send(pending, origin)
             else:
                 self._finish(pending)
-        # Requests that can no longer be fetched in time are refused now, while their clients still have time
-        # for a retry.
+        # Requests that can't be fetched in time are refused now: their clients still have time for a retry.
         origin = self._origin()  # looked up once, not for each queued request
         for _, _, pending in self.queue:
             if pending.waiting and self.now >= self._latest_start(pending, origin):
--- a/brackenwalk/ring.py
+++ b/brackenwalk/ring.py
@@ -1,4 +1,7 @@
-"""Consistent-hash ring of weighted virtual nodes, and the walk clockwise over it."""
+"""Consistent-hash ring of weighted virtual nodes that takes changes in steps, and the walk clockwise over it.
+
+Nodes count only while their slot names an owner, so owners leave at once and join many at a time.
+"""
 
 from __future__ import annotations
 
@@ -6,12 +9,12 @@
 import math
 import struct
 from array import array
-from bisect import bisect_left
+from collections import deque
 from collections.abc import Iterator
-from typing import Any, Generic, TypeVar
 
-S = TypeVar("S")
-T = TypeVar("T", "array[int]", "array[float]", list[Any])
+from brackenwalk.node_segments import INDEX_BITS, INDEX_MASK, SLOT_MASK, NodeSegments
+
+SWEEP_DIVISOR = 4  # of the nodes in use: more without an owner are swept out, fewer cost a walk little
 
 
 def ring_hash(text: str) -> tuple[int, ...]:
@@ -21,82 +24,122 @@
 
 def virtual_nodes(server: str, count: int) -> tuple[int, ...]:
     """Return the positions of a server's first `count` virtual nodes; a higher count only adds positions."""
-    return tuple(p for j in range(math.ceil(count / 8)) for p in ring_hash(f"{server}-vnode-{j}"))[:count]
-
+    names = [f"{server}-vnode-{j}".encode() for j in range(math.ceil(count / 8))]
+    digests = b"".join([hashlib.blake2b(name).digest() for name in names])
+    return struct.unpack_from(f">{count}Q", digests)
 
-def remove_at(items: T, indices: list[int]) -> T:
-    """Return a copy of the items without those at the given ascending indices."""
-    kept, start = items[:0], 0
-    for index in indices:
-        kept += items[start:index]
-        start = index + 1
-    kept += items[start:]
-    return kept
 
+class Ring:
+    """Virtual nodes by position, each with its owner's name and its rank among the owner's nodes.
 
-def insert_at(items: T, indices: list[int], inserted: list[Any]) -> T:
-    """Return a copy of the items with others inserted, each before the item at its (ascending) index."""
-    merged, start = items[:0], 0
-    for index, item in zip(indices, inserted, strict=True):
-        merged += items[start:index]
-        merged.append(item)
-        start = index
-    merged += items[start:]
-    return merged
-
-
-class Ring(Generic[S]):
-    """Virtual nodes sorted by position, each with its owner and its rank among the owner's nodes."""
+    The owners of one call of `place` come into use together, once `step` has done the work; those that had
+    other nodes keep them until then.
+    """
 
     def __init__(self) -> None:
-        self.nodes_by_owner: dict[S, array[int]] = {}  # positions, including changes not applied yet
-        self.previous_nodes: dict[S, array[int]] = {}  # of changed owners: the positions still in the ring
-        self.positions: array[int] = array("Q")  # ascending; owners and ranks are parallel to it
-        self.owners: list[S] = []
-        self.ranks: array[float] = array("f")  # from 0 to 1: (index among the owner's nodes + 0.5) / count
-
-    def set_virtual_nodes(self, owner: S, name: str, count: int) -> None:
-        """Set how many virtual nodes an owner has; takes effect with `apply_changes`."""
-        current = self.nodes_by_owner.get(owner, array("Q"))
-        if count == len(current):
-            return
-        self.previous_nodes.setdefault(owner, current)
-        self.nodes_by_owner[owner] = array("Q", virtual_nodes(name, count))
-        if not count:
-            del self.nodes_by_owner[owner]
-
-    def apply_changes(self) -> None:
-        """Merge the changed owners' nodes into the sorted arrays; unchanged runs are copied as slices."""
-        if not self.previous_nodes:
-            return
-        removed = sorted(self._index(p, owner) for owner, nodes in self.previous_nodes.items() for p in nodes)
-        positions = remove_at(self.positions, removed)
-        added, owners, ranks = array("Q"), list[S](), array("f")
-        for owner in self.previous_nodes:
-            nodes = self.nodes_by_owner.get(owner, array("Q"))
-            added += nodes
-            owners += [owner] * len(nodes)
-            ranks.extend((j + 0.5) / len(nodes) for j in range(len(nodes)))
-        order = sorted(range(len(added)), key=added.__getitem__)
-        indices = [bisect_left(positions, added[i]) for i in order]
-        self.positions = insert_at(positions, indices, [added[i] for i in order])
-        self.owners = insert_at(remove_at(self.owners, removed), indices, [owners[i] for i in order])
-        self.ranks = insert_at(remove_at(self.ranks, removed), indices, [ranks[i] for i in order])
-        self.previous_nodes.clear()
-
-    def _index(self, position: int, owner: S) -> int:
-        """Return the index of an owner's node; nodes of several owners may share a position."""
-        index = bisect_left(self.positions, position)
-        while self.owners[index] != owner:
-            index += 1
-        return index
-
-    def owner_at(self, position: int) -> S:
+        self.nodes = NodeSegments()
+        self.owners: list[str | None] = []  # by slot; None: its nodes do not count
+        self.counts: array[int] = array("B")  # of nodes, by slot
+        self.slots: dict[str, int] = {}  # of the owners in use
+        self.planned: dict[str, int] = {}  # number of nodes that an owner has once all work is done
+        self.batches: deque[dict[str, int]] = deque()  # owners to place, with their node counts
+        self.placed: dict[str, int] = {}  # slots of the first batch
+        self.retired: list[int] = []  # slots whose owners have left
+        self.free_slots: list[int] = []
+        self.nodes_in_use = self.retired_nodes = 0
+        self.work: Iterator[int] = iter(())  # yields how many nodes each part of the work has covered
+        self.activated: list[str] = []
+
+    def place(self, counts: dict[str, int]) -> None:
+        """Give owners a number of virtual nodes from 1 to 128; takes effect in steps."""
+        batch = {owner: count for owner, count in counts.items() if self.planned.get(owner) != count}
+        self.planned |= batch
+        if batch:
+            self.batches.append(batch)
+
+    def remove(self, owner: str) -> None:
+        """Take an owner out of use at once."""
+        self.planned.pop(owner, None)
+        for batch in self.batches:
+            batch.pop(owner, None)
+        for slots in (self.placed, self.slots):
+            if owner in slots:
+                self._retire(slots.pop(owner))
+
+    def has_work(self) -> bool:
+        """Return whether `step` has anything to do."""
+        return bool(self.batches) or SWEEP_DIVISOR * self.retired_nodes > self.nodes_in_use
+
+    def step(self, nodes: int) -> list[str]:
+        """Work on about so many virtual nodes, and return the owners that have come into use."""
+        self.activated = []
+        while nodes > 0 and not self.activated and self.has_work():
+            part = next(self.work, None)
+            if part is None and not self.activated:
+                self.work = self._place_batch() if self.batches else self._sweep()
+            nodes -= part or 0
+        return self.activated
+
+    def owner_at(self, position: int) -> str:
         """Return the owner of the first node from a position on, wrapping round; needs at least one node."""
-        return self.owners[bisect_left(self.positions, position) % len(self.positions)]
-
-    def clockwise(self, position: int, limit: int) -> Iterator[tuple[S, float]]:
-        """Yield owner and rank of each node from a position on, wrapping round, for at most `limit` nodes."""
-        start, count = bisect_left(self.positions, position), len(self.positions)
-        for step in range(start, start + min(limit, count)):
-            yield self.owners[step % count], self.ranks[step % count]
+        return next(self.clockwise(position, 1))[0]
+
+    def clockwise(self, position: int, limit: int) -> Iterator[tuple[str, float]]:
+        """Yield owner and rank of each node from a position on, wrapping round, for at most `limit` nodes.
+
+        A rank is from 0 to 1: (index among the owner's nodes + 0.5) / count.
+        """
+        left = min(limit, self.nodes_in_use)
+        for segment in self.nodes.clockwise(position):
+            for node in segment:
+                if not left:
+                    return
+                slot = node >> INDEX_BITS & SLOT_MASK
+                owner = self.owners[slot]
+                if owner is not None:
+                    left -= 1
+                    yield owner, ((node & INDEX_MASK) + 0.5) / self.counts[slot]
+            if not left:
+                return
+
+    def _place_batch(self) -> Iterator[int]:
+        """Place the first batch and put it in use."""
+        yield from self._add_nodes(self.batches[0])
+        self.batches.popleft()
+        placed, self.placed, self.activated = self.placed, {}, list(self.placed)
+        for owner, slot in placed.items():
+            if owner in self.slots:
+                self._retire(self.slots[owner])
+            self.slots[owner], self.owners[slot] = slot, owner
+            self.nodes_in_use += self.counts[slot]
+
+    def _add_nodes(self, batch: dict[str, int]) -> Iterator[int]:
+        """Add the nodes of a batch, which becomes empty, to the ring."""
+        while batch:
+            owner, count = batch.popitem()
+            slot = self.placed[owner] = self._new_slot(count)
+            self.nodes.add(slot, virtual_nodes(owner, count))
+            yield count
+        yield from self.nodes.merge()
+
+    def _sweep(self) -> Iterator[int]:
+        """Drop the nodes of retired slots, and free the slots."""
+        slots, self.retired = self.retired, []
+        yield from self.nodes.drop(slots)
+        self.retired_nodes -= sum(self.counts[slot] for slot in slots)
+        self.free_slots += slots
+
+    def _new_slot(self, count: int) -> int:
+        if self.free_slots:
+            slot = self.free_slots.pop()
+            self.counts[slot] = count
+            return slot
+        self.owners.append(None)
+        self.counts.append(count)
+        return len(self.owners) - 1
+
+    def _retire(self, slot: int) -> None:
+        self.nodes_in_use -= self.counts[slot] if self.owners[slot] is not None else 0
+        self.retired_nodes += self.counts[slot]
+        self.owners[slot] = None
+        self.retired.append(slot)
--- a/brackenwalk/state.py
+++ b/brackenwalk/state.py
@@ -18,7 +18,8 @@
     is_cache: bool = True  # False for an origin
     name_hash: int = 0  # 32 bits of the hash of its name, which stand for the name in peer messages
     in_flight: int = 0  # open attempts of this router
-    ring_weight: float = 1.0  # its weight on the ring, which does not fall with load as the listed one may
+    listed_weight: float = 0.0  # without the fall by load; 0 if the list gives none
+    ring_weight: float = 1.0  # the weight by which it has its virtual nodes in the ring
     # requests at it per unit of weight, of all routers together, as its listed weight showed some seconds ago
     reported_load: float = 0.0
     limit: float = INITIAL_LIMIT  # concurrency limit on `in_flight`
--- a/brackenwalk/wirehost.py
+++ b/brackenwalk/wirehost.py
@@ -163,10 +163,16 @@
             raise WireError(f"malformed event: {e!r} in {str(event)[:200]}") from e
         if router is None:
             return
-        for action in router.handle(now, parsed):
-            command = WRITERS[type(action)](action)
-            command["routerId"] = router_id
-            commands.append(command)
+        due: api.Event | None = parsed
+        while due is not None:
+            actions, due = router.handle(now, due), None
+            for action in actions:
+                if isinstance(action, api.ResumeLater):
+                    due = api.Resume()  # no time passes within a batch, so the work is done at once
+                    continue
+                command = WRITERS[type(action)](action)
+                command["routerId"] = router_id
+                commands.append(command)
 
 
 def main() -> int:
--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -17,11 +17,13 @@
 import msgspec
 
 from brackenwalk.__main__ import RESERVED_DESCRIPTORS
-from brackenwalk.demand import DIGEST_BYTES, HEADER, HISTORY_REQUESTS, KEY_ENTRY, MAX_KEYS, SERVER_ID
+from brackenwalk.demand import HISTORY_REQUESTS
+from brackenwalk.membership import VNODES
 from brackenwalk.net.discovery import EMPTY_RESPONSE_PAUSE_S, RESPONSE_MARGIN_S, WATCH_WAIT_S
 from brackenwalk.net.peers import PEER_BUFFER_BYTES
+from brackenwalk.peer_message import DIGEST_BYTES, HEADER, KEY_ENTRY, MAX_KEYS, SERVER_ID
 from brackenwalk.peer_updates import INTERVAL_FACTOR, MAX_BYTES_PER_S, MAX_SENDERS, UDP_OVERHEAD_BYTES
-from brackenwalk.policy import MAX_FAILURES, SILENT_AIMS, VNODES
+from brackenwalk.policy import MAX_FAILURES, SILENT_AIMS
 from fleetlab.experiment import Experiment, Fleet
 from fleetlab.plan import Addresses, Plan, initial_server_list, server_entry
 from fleetlab.slopes import (
--- a/fleetlab/model.py
+++ b/fleetlab/model.py
@@ -10,16 +10,17 @@
 from array import array
 from bisect import bisect_left
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Hashable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
 from functools import cache
 from itertools import accumulate
-from typing import Any
 from unittest.mock import patch
+from weakref import WeakKeyDictionary
 
 from brackenwalk import interface as api
 from brackenwalk import ring
+from brackenwalk.node_segments import NodeSegments
 from brackenwalk.policy import Router
 
 LATENCY_S = 0.05  # response time of a server
@@ -43,6 +44,8 @@
             return "peer"
         case api.TimerFired():
             return "timer"
+        case api.Resume():
+            return "resume"
         case api.ServerList(kind=api.ListKind.DELTA, entries=()):
             return "call"  # a watch that ended without changes
         case api.ServerList():
@@ -65,31 +68,48 @@
 
 @contextmanager
 def shared_rings(max_lists: int = 8) -> Iterator[None]:
-    """Cache the order of the ring as well, for the latest `max_lists` server lists.
+    """Cache the ring as well, after each of the latest `max_lists` changes that some instance has worked in.
 
-    For many instances with the same list: each keeps its own owner objects, but the sorting is done once.
-    Changes that are measured in this context cost far less than in a process of their own (for these see
-    `module_costs`).
+    For many instances with the same lists: each keeps its own owner objects, but the nodes of instances that
+    have had the same lists are placed once. Changes that are measured in this context cost far less than in a
+    process of their own (for these see `module_costs`).
     """
-    original_apply_changes = ring.Ring.apply_changes
-    cached: dict[frozenset[tuple[int, int]], tuple[array[int], list[int], array[float]]] = {}
-
-    def apply_changes(self: ring.Ring[Any]) -> None:
-        if not self.previous_nodes:
-            return
-        key = frozenset((owner.name_hash, len(points)) for owner, points in self.nodes_by_owner.items())
-        if key not in cached:
-            original_apply_changes(self)
-            cached[key] = self.positions, [owner.name_hash for owner in self.owners], self.ranks
-            while len(cached) > max_lists:
-                del cached[next(iter(cached))]
-            return
-        owners = {owner.name_hash: owner for owner in self.nodes_by_owner}
-        self.positions, names, self.ranks = cached[key]
-        self.owners = list(map(owners.__getitem__, names))
-        self.previous_nodes.clear()
-
-    with shared_virtual_nodes(), patch.object(ring.Ring, "apply_changes", apply_changes):
+    add_nodes, drop = ring.Ring._add_nodes, NodeSegments.drop
+    cached: dict[int, list[array[int]]] = {}  # segments, by the hash of all changes that led to them
+    histories: WeakKeyDictionary[NodeSegments, int] = WeakKeyDictionary()
+
+    def change(nodes: NodeSegments, work: Hashable, carry_out: Callable[[], Iterator[int]]) -> bool:
+        """Carry out a change at once, or take over its result. Return whether that was possible."""
+        key = histories[nodes] = hash((histories.get(nodes, 0), work))
+        if key in cached:
+            nodes.segments = list(cached[key])
+            return True
+        nodes.segments = [
+            segment[:] for segment in nodes.segments
+        ]  # other instances may have the same arrays
+        for _ in carry_out():
+            pass
+        cached[key] = list(nodes.segments)
+        while len(cached) > max_lists:
+            del cached[next(iter(cached))]
+        return False
+
+    def add_shared(self: ring.Ring, batch: dict[str, int]) -> Iterator[int]:
+        if change(self.nodes, tuple(batch.items()), lambda: add_nodes(self, batch)):
+            while batch:
+                owner, count = batch.popitem()
+                self.placed[owner] = self._new_slot(count)
+        yield 1
+
+    def drop_shared(self: NodeSegments, slots: list[int]) -> Iterator[int]:
+        change(self, tuple(slots), lambda: drop(self, slots))
+        yield 1
+
+    with (
+        shared_virtual_nodes(),
+        patch.object(ring.Ring, "_add_nodes", add_shared),
+        patch.object(NodeSegments, "drop", drop_shared),
+    ):
         yield
 
 
@@ -197,9 +217,16 @@
         heapq.heappush(self.event_queue, (self.now + delay, self.sequence, number, event))
 
     def dispatch(self, number: int, event: api.Event) -> None:
-        """Pass an event to a router now, and carry out its actions."""
-        self.event_counts[event_kind(event)] += 1
-        for action in self.routers[number].handle(self.now, event):
+        """Pass an event to a router now, and carry out its actions; steps that it leads to take no time."""
+        due: list[api.Event] = [event]
+        while due:
+            self.event_counts[event_kind(due[0])] += 1
+            actions = self.routers[number].handle(self.now, due.pop())
+            due = [api.Resume() for action in actions if isinstance(action, api.ResumeLater)]
+            self._execute(number, actions)
+
+    def _execute(self, number: int, actions: list[api.Action]) -> None:
+        for action in actions:
             if isinstance(action, api.Send):
                 self.send(number, action)
             elif isinstance(action, api.Broadcast):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from dataclasses import replace
-from typing import Any
+from typing import Any, TypeVar, cast
 
 from brackenwalk import interface as api
 from brackenwalk.policy import Router
 
+T = TypeVar("T")
 READ = api.RequestClass("read", aim=1.0)
 KEYED = api.RequestClass(
     "keyed", 1.0, api.RetrySafety.KEYED, api.RepeatGroup.ALL, repeat_window=1.5, priority=5.0
@@ -32,6 +34,15 @@
     return api.ServerEntry(server, **fields)
 
 
+def finish(steps: Generator[int, None, T]) -> T:
+    """Take all steps of a computation and return its result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return cast(T, end.value)
+
+
 class Driver:
     """A router with a simulated clock, and what its clients, servers and peers see of it."""
 
@@ -51,12 +62,21 @@
         self.timers: list[tuple[float, str]] = []
         self.listed: dict[str, api.ServerEntry] = {}
         self.last_actions: list[api.Action] = []
+        self.stepwise = False  # whether tests deliver the steps that a list is worked in by themselves
         self.broadcasts: list[bytes] = []
 
     def feed(self, event: api.Event) -> list[api.Action]:
-        self.last_actions = self.router.handle(self.now, event)
-        for action in self.last_actions:
-            self.check(action)
+        """Deliver an event and, unless `stepwise` is set, all steps that it leads to; return the actions."""
+        self.last_actions = []
+        due: list[api.Event] = [event]
+        while due:
+            actions, due = self.router.handle(self.now, due.pop()), []
+            for action in actions:
+                if isinstance(action, api.ResumeLater) and not self.stepwise:
+                    due.append(api.Resume())
+                else:
+                    self.check(action)
+                    self.last_actions.append(action)
         return self.last_actions
 
     # Records each action, and checks it against the rules
--- a/tests/test_datagram_format.py
+++ b/tests/test_datagram_format.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from brackenwalk.demand import Demand, encode_message
+from brackenwalk.demand import Demand
+from brackenwalk.peer_message import encode_message
 from brackenwalk.ring import ring_hash, virtual_nodes
 
 # Written by version 0.1.0 at commit c1fa836: digest (4 bytes), time sent, total of requests, number of keys,
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -6,10 +6,11 @@
 
 from brackenwalk import interface as api
 from brackenwalk import policy
-from brackenwalk.demand import MAX_COUNT, MAX_KEYS, MAX_SERVERS, Demand, with_digest
+from brackenwalk.demand import Demand
+from brackenwalk.peer_message import MAX_COUNT, MAX_KEYS, MAX_SERVERS, with_digest
 from brackenwalk.ring import ring_hash
 from brackenwalk.state import Server
-from tests.driver import Driver, entry, settings
+from tests.driver import Driver, entry, finish, settings
 
 SERVERS = [entry(f"s{i}") for i in range(20)]
 
@@ -23,7 +24,7 @@
 
 
 def split(demand: Demand, **fair: float) -> dict[int, dict[str, float]]:
-    return demand.split_hot_keys(fair, 1.25, lambda position: iter(fair), lambda key, server: 1.0)
+    return finish(demand.split_hot_keys(fair, 1.25, lambda position: iter(fair), lambda key, server: 1.0))
 
 
 def test_a_message_sends_each_count_to_a_peer_once() -> None:
@@ -252,11 +253,13 @@
     for key, times in ((1, 90), (2, 90), (3, 90), (4, 90)):
         for _ in range(times):
             one.add(key << 8)
-    portions = one.split_hot_keys(
-        {"cold": 0.06, "b": 0.47, "c": 0.47},
-        1.25,
-        lambda position: iter(("cold", "b", "c")),
-        lambda key, server: 0.13 if server == "cold" else 1.0,
+    portions = finish(
+        one.split_hot_keys(
+            {"cold": 0.06, "b": 0.47, "c": 0.47},
+            1.25,
+            lambda position: iter(("cold", "b", "c")),
+            lambda key, server: 0.13 if server == "cold" else 1.0,
+        )
     )
     assert 0 < sum(taken["cold"] for taken in portions.values()) <= 1.25 * 0.06  # its capacity and no more
     for taken in portions.values():
--- a/tests/test_held_lists.py
+++ b/tests/test_held_lists.py
@@ -9,17 +9,12 @@
 import pytest
 
 from brackenwalk import interface as api
-from brackenwalk.demand import (
-    MAX_COUNTED_KEYS,
-    MAX_KEYS,
-    MAX_UNSENT_KEYS,
-    OVERFLOW_FACTOR,
-    Demand,
-    encode_message,
-)
+from brackenwalk.demand import MAX_COUNTED_KEYS, MAX_UNSENT_KEYS, OVERFLOW_FACTOR, Demand
+from brackenwalk.membership import MAX_KINDS
 from brackenwalk.net.discovery import MAX_TEXT_CHARS, DiscoveryClient, ListError, read_list
 from brackenwalk.net.memory import DEFAULT_LIMITS, TooManyServersError
-from brackenwalk.policy import MAX_KINDS, Router
+from brackenwalk.peer_message import MAX_KEYS, encode_message
+from brackenwalk.policy import Router
 from tests.driver import entry, settings
 from tests.loopback import RouterHarness, ScriptedServer, http, member, run
 from tests.test_net_discovery import ENTRY
@@ -71,7 +66,7 @@
     for number in range(2 * MAX_KINDS):
         listed = entry("s0", kind=f"kind-{number}", weight=2.0)
         router.handle(100.0, api.ServerList(api.ListKind.FULL, (listed,)))
-    assert len(router.largest_weights) <= MAX_KINDS + 1
+    assert len(router.membership.largest_weights) <= MAX_KINDS + 1
 
 
 @pytest.mark.parametrize("kind", [api.ListKind.FULL, api.ListKind.DELTA])
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -8,8 +8,11 @@
 
 ROOT = Path(__file__).parent.parent
 MODULE = (ROOT / "brackenwalk" / "policy.py").read_text()
-PARTS = ("ring", "state", "demand", "shares", "peer_updates", "discovery_calls")
+PARTS = ("membership", "ring", "state", "demand", "shares", "peer_updates", "discovery_calls")
 TEXTS = [MODULE, *((ROOT / "brackenwalk" / f"{n}.py").read_text() for n in PARTS)]
+# imported by the parts, without decisions: a container and a format
+SUPPORT = [(ROOT / "brackenwalk" / f"{n}.py").read_text() for n in ("node_segments", "peer_message")]
+MAX_MODULE_LINES = 1200  # that are not blank
 OTHERS_WORDS = (
     "lessons mechelen hobart timetable booking slot- grid prize hint-spend quote amend shannonside "
     "lee-valley kruiswoord puzzelkrant mots junior dublin cork hall- launceston devonport gen- fast- mid- "
@@ -21,11 +24,13 @@
 
 
 def test_lines_of_the_module_are_not_wider_than_110_characters() -> None:
-    assert max(len(line) for text in TEXTS for line in text.splitlines()) <= 110
+    assert max(len(line) for text in TEXTS + SUPPORT for line in text.splitlines()) <= 110
 
 
 def test_module_names_no_deployment() -> None:
-    words = [w for w in OTHERS_WORDS.split() for t in TEXTS if re.search(rf"\b{w}", t, re.IGNORECASE)]
+    words = [
+        w for w in OTHERS_WORDS.split() for t in TEXTS + SUPPORT if re.search(rf"\b{w}", t, re.IGNORECASE)
+    ]
     assert not words
 
 
@@ -35,7 +40,7 @@
 
 
 def test_module_reads_no_clock_and_does_no_io() -> None:
-    imported = re.findall(r"^(?:import|from) (\S+)", "\n".join(TEXTS), re.MULTILINE)
+    imported = re.findall(r"^(?:import|from) (\S+)", "\n".join(TEXTS + SUPPORT), re.MULTILINE)
     allowed = {
         "__future__",
         "array",
@@ -53,10 +58,13 @@
         "brackenwalk",
         "brackenwalk.discovery_calls",
         "brackenwalk.demand",
+        "brackenwalk.membership",
         "brackenwalk.ring",
         "brackenwalk.shares",
         "brackenwalk.state",
         "brackenwalk.peer_updates",
+        "brackenwalk.peer_message",
+        "brackenwalk.node_segments",
     }
     assert set(imported) <= allowed
     assert "brackenwalk/interface.py" in MODULE.split('"""')[1]
@@ -69,3 +77,7 @@
     exec(code.group(1), names)
     send = next(a for a in names["actions"] if isinstance(a, api.Send))  # type: ignore[attr-defined]
     assert send.request_id == "r1" and send.server in ("cache-1", "cache-2")
+
+
+def test_module_is_no_longer_than_operators_accept() -> None:
+    assert sum(bool(line.strip()) for text in TEXTS for line in text.splitlines()) <= MAX_MODULE_LINES
--- a/tests/test_lab_hollow.py
+++ b/tests/test_lab_hollow.py
@@ -23,6 +23,7 @@
 from fleetlab.results import Role
 from tests.driver import entry, settings
 from tests.loopback import http, run
+from tests.ring_nodes import nodes_in_use
 
 SETTINGS = settings(peer_messages=True)
 SERVERS = [entry(f"s{i}", zone="ab"[i % 2]) for i in range(6)]
@@ -100,16 +101,17 @@
 def test_shared_rings_equal_those_built_without_sharing() -> None:
     drained = api.ServerList(api.ListKind.DELTA, (replace(SERVERS[2], state=api.ServerState.DRAINING),))
 
-    def rings() -> list[tuple[list[int], list[str], list[float]]]:
+    def rings() -> list[list[tuple[int, str, float]]]:
         found = []
         for number in range(2):
             router = Router(SETTINGS, number, 100.0)
             for event in (api.ServerList(api.ListKind.SAVED, tuple(SERVERS)), drained):
-                router.handle(100.0, event)
+                due = router.handle(100.0, event)
+                while api.ResumeLater() in due:
+                    due = router.handle(100.0, api.Resume())
                 ring = router.ring
-                assert all(owner is router.servers[owner.entry.server] for owner in ring.owners)
-                owners = [owner.entry.server for owner in ring.owners]
-                found.append((list(ring.positions), owners, list(ring.ranks)))
+                assert ring.slots.keys() == {s.entry.server for s in router.caches}
+                found.append(nodes_in_use(ring))
         return found
 
     unshared = rings()
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -15,7 +15,9 @@
 import pytest
 
 from brackenwalk import __main__ as program
+from brackenwalk.net.listener import Listener
 from brackenwalk.net.pool import parse_address
+from brackenwalk.policy import Router
 from tests.loopback import HIT, TIMEOUT_S, Link, ScriptedServer, command, format_address, http, read, run
 from tests.test_net_discovery import ENTRY, message
 from tests.test_wirehost import SETTINGS_TABLE
@@ -269,3 +271,36 @@
                 await process.wait()
 
     run(scenario)
+
+
+def config_of_many_servers(count: int) -> dict[str, Any]:
+    entries = [{**ENTRY, "name": f"s-{i}"} for i in range(count)]
+    known = {"index": 1, "snapshot": True, "endpoints": entries}
+    return {**VALID_CONFIG, "listen": "127.0.0.1:0", "known": known}
+
+
+def test_listens_once_the_known_servers_are_placed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: the first requests of a restarted router all go to the origin, or to a few servers."""
+    placed: list[int] = []
+
+    def record_and_stop(listener: Listener, address: tuple[str, int]) -> None:
+        placed.append(len(listener.host.router.caches))
+        raise OSError("stop here")
+
+    monkeypatch.setattr(Listener, "start", record_and_stop)
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(config_of_many_servers(300)))
+    monkeypatch.setenv("RELAY_CONFIG", str(path))
+    assert program.main() == 2 and placed == [300]
+
+
+def test_sigterm_while_the_known_servers_are_placed_ends_the_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a router that starts with a long list is killed, as it ignores SIGTERM until then."""
+    monkeypatch.setattr(Router, "_on_resume", lambda self: os.kill(os.getpid(), signal.SIGTERM))
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(config_of_many_servers(300)))
+    monkeypatch.setenv("RELAY_CONFIG", str(path))
+    monkeypatch.setattr(program, "ACCEPT_GRACE_S", 0.0)
+    assert program.main() == 0
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import time
 from typing import Any
 
 import pytest
@@ -15,8 +17,9 @@
 from brackenwalk.net import listener
 from brackenwalk.net.clients import MAX_COMMANDS_PER_TURN, ClientConnection
 from brackenwalk.net.command_buffer import PARSE_CHUNK_BYTES
+from brackenwalk.net.requests import Member
 from brackenwalk.net.turns import TurnSelector, new_event_loop
-from tests.loopback import HIT, Link, RouterHarness, command, read, run
+from tests.loopback import HIT, Link, RouterHarness, book, command, member, read, run
 from tests.test_terms_clients import NEVER_S, LargeHarness, close_now, paused_client, run_loop, send_now
 
 FLOOD = 600  # commands that one client sends at once
@@ -210,6 +213,68 @@
     run(scenario)
 
 
+# Long server lists
+
+
+def long_list(count: int, prefix: str = "s", **fields: Any) -> list[Member]:
+    return [member(f"{prefix}{i}", "127.0.0.1:1", **fields) for i in range(count)]
+
+
+def test_requests_are_handled_between_the_steps_of_a_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: no request is read while a long list is worked in (`review/3`)."""
+
+    async def scenario() -> None:
+        async with RouterHarness() as router:
+            client, handle = await router.client(), router.host.router.handle
+            await run_loop()
+            handled: list[type] = []
+
+            def recording(now: float, event: api.Event) -> list[api.Action]:
+                handled.append(type(event))
+                return handle(now, event)
+
+            monkeypatch.setattr(router.host.router, "handle", recording)
+            send_now(client, book("w1"))
+            router.host.on_server_list(api.ListKind.DELTA, long_list(400))
+            await router.host.settled.wait()
+            steps_before = handled[: handled.index(api.Request)].count(api.Resume)
+            assert steps_before <= 2 and handled.count(api.Resume) > 20
+            assert (await (await router.origin.link()).http())[0].startswith("PUT")
+
+    run(scenario)
+
+
+def test_no_turn_is_long_while_a_list_is_worked_in() -> None:
+    """Guards against: a turn of over 50 ms of processor time, whatever a list of 1,000 servers brings."""
+    turns = TurnSelector(time.thread_time)
+
+    async def scenario() -> None:
+        async with RouterHarness() as router:
+            await router.host.settled.wait()
+            origin = member("o", router.origin.address, "origin")
+            lists = [
+                (api.ListKind.FULL, [*long_list(1000), origin]),
+                (api.ListKind.DELTA, [Member(api.ServerEntry("s0", kind="std", weight=1.5), "127.0.0.1:1")]),
+                (api.ListKind.FULL, [*long_list(1000, "new"), origin]),
+                (api.ListKind.FULL, [*long_list(1000, "new", started_at=1.0), origin]),
+            ]
+            await asyncio.sleep(0)
+            turns.take_longest()
+            for kind, members in lists:
+                router.host.on_server_list(kind, members)
+                await asyncio.sleep(0)
+                await router.host.settled.wait()
+            assert turns.take_longest() <= 0.05
+
+    gc.collect()
+    gc.freeze()  # the objects of other tests, which a router's garbage collector would not pass over
+    try:
+        with asyncio.Runner(loop_factory=lambda: new_event_loop(turns)) as runner:
+            runner.run(scenario())
+    finally:
+        gc.unfreeze()
+
+
 def test_selector_measures_the_longest_turn() -> None:
     """Guards against: a log that does not show by how long the event loop was held up."""
     now = 0.0
--- a/tests/test_peer_updates.py
+++ b/tests/test_peer_updates.py
@@ -10,7 +10,8 @@
 import pytest
 
 from brackenwalk import interface as api
-from brackenwalk.demand import DIGEST_BYTES, HEADER, KEY_ENTRY, MAX_KEYS, SERVER_ID, Demand, timestamp_of
+from brackenwalk.demand import Demand
+from brackenwalk.peer_message import DIGEST_BYTES, HEADER, KEY_ENTRY, MAX_KEYS, SERVER_ID, timestamp_of
 from brackenwalk.peer_updates import MAX_AGE_FACTOR, MAX_BYTES_PER_S, UDP_OVERHEAD_BYTES, PeerUpdates
 from fleetlab import model
 from fleetlab.model import FleetModel, shared_rings, zipf_weights
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -9,9 +9,10 @@
 from hypothesis import strategies as st
 
 from brackenwalk import interface as api
-from brackenwalk import policy
+from brackenwalk import shares
 from brackenwalk.ring import Ring, ring_hash, virtual_nodes
 from tests.driver import Driver, entry, settings
+from tests.ring_nodes import cut, nodes_in_use, work_off
 
 
 def positions_of(text: str) -> list[int]:
@@ -57,10 +58,12 @@
     """A fixed total of 150 virtual nodes left most servers of a large fleet with one or two, or none."""
     driver = Driver(settings())
     driver.list(*(entry(f"s{i}", weight=1 + i % 2) for i in range(size)))
-    ring = driver.router.ring.positions
+    nodes = nodes_in_use(driver.router.ring)
     share = dict.fromkeys(driver.router.servers, 0)
-    for before, p, owner in zip([ring[-1] - 2**64, *ring], ring, driver.router.ring.owners, strict=False):
-        share[owner.entry.server] += p - before
+    before = nodes[-1][0] - 2**64
+    for position, owner, _ in nodes:
+        share[owner] += position - before
+        before = position
     for i, arc in enumerate(share.values()):
         fair = 2**64 * (1 + i % 2) / (size + size // 2)
         assert 0.6 < arc / fair < 1.5  # about four standard deviations with 64 nodes
@@ -147,15 +150,22 @@
     driver = Driver(settings())
     entries = [entry(f"s{i}") for i in range(30)]
     driver.list(*entries)
-    before, last = driver.router.ring.positions, driver.router.ring.owners[-1]
-    driver.list(*entries)
-    driver.list(entry("s3", started_at=0.0, cell=1), kind=api.ListKind.DELTA)
-    assert driver.router.ring.positions is before
+    ring = driver.router.ring
+    before, segments = nodes_in_use(ring), list(ring.nodes.segments)
+    driver.stepwise = True
+    for entries_of, kind in (
+        (entries, api.ListKind.FULL),
+        ([entry("s3", started_at=0.0, cell=1)], api.ListKind.DELTA),
+    ):
+        assert api.ResumeLater() not in driver.list(*entries_of, kind=kind)
+        assert all(now is then for now, then in zip(ring.nodes.segments, segments, strict=True))
+        assert nodes_in_use(ring) == before
+    driver.stepwise = False
     driver.list(entry("s30"), kind=api.ListKind.DELTA)
-    assert len(driver.router.ring.positions) == 31 * 128 and driver.router.ring.positions is not before
-    assert sorted(driver.router.ring.positions) == list(driver.router.ring.positions)
+    with_s30 = nodes_in_use(ring)
+    assert len(with_s30) == 31 * 128 and sorted(p for p, _, _ in with_s30) == [p for p, _, _ in with_s30]
     driver.list(*entries)
-    assert list(driver.router.ring.positions) == list(before) and driver.router.ring.owners[-1] is last
+    assert nodes_in_use(ring) == before
 
 
 def test_keys_follow_the_weights() -> None:
@@ -247,7 +257,7 @@
     eligible = driver.router._eligible
     driver.router._eligible = lambda pending, server: looked.append(server) or eligible(pending, server)  # type: ignore[method-assign,func-returns-value]
     assert driver.request("r", key="k") is None and driver.ended["r"] == "refused"
-    assert 0 < len(looked) <= policy.MAX_WALK_NODES
+    assert 0 < len(looked) <= shares.MAX_WALK_NODES
 
 
 def test_a_cold_server_gets_less_while_answers_fail() -> None:
@@ -275,41 +285,47 @@
     assert sent[0] == sent[1]
 
 
+def place(ring: Ring, counts: list[tuple[int, int]]) -> None:
+    """Give numbered owners a number of nodes, the later entry of the same owner counts."""
+    latest = dict(counts)
+    for owner in (owner for owner, count in latest.items() if not count):
+        ring.remove(f"s{owner}")
+    ring.place({f"s{owner}": count for owner, count in latest.items() if count})
+
+
+def expected_nodes(counts: dict[str, int]) -> list[tuple[int, str, float]]:
+    """Return the nodes of owners with these numbers of them, each computed by itself."""
+    return sorted(
+        (cut(p), owner, (j + 0.5) / count)
+        for owner, count in counts.items()
+        for j, p in enumerate(virtual_nodes(owner, count))
+    )
+
+
 changes = st.lists(st.tuples(st.integers(0, 9), st.sampled_from([0, 0, 3, 8, 20])), min_size=1, max_size=8)
 
 
 @hypothesis_settings(deadline=None, derandomize=True)
 @given(st.lists(changes, min_size=1, max_size=6))
 def test_a_ring_changed_step_by_step_equals_one_built_at_once(steps: list[list[tuple[int, int]]]) -> None:
-    ring: Ring[str] = Ring()
+    ring = Ring()
     now: dict[str, int] = {}
     for step in steps:
-        for owner, count in step:
-            now[f"s{owner}"] = count
-            ring.set_virtual_nodes(f"s{owner}", f"s{owner}", count)
-        ring.apply_changes()
-        nodes = sorted(
-            (p, owner, (j + 0.5) / count)
-            for owner, count in now.items()
-            for j, p in enumerate(virtual_nodes(owner, count))
-        )
-        assert list(ring.positions) == [p for p, _, _ in nodes]
-        assert ring.owners == [owner for _, owner, _ in nodes]
-        assert list(ring.ranks) == pytest.approx([rank for _, _, rank in nodes])
+        place(ring, step)
+        now.update((f"s{owner}", count) for owner, count in step)
+        work_off(ring)
+        assert nodes_in_use(ring) == expected_nodes(now)
 
 
 def test_a_change_of_one_server_costs_a_small_part_of_building_the_ring() -> None:
     """With 930 servers, a list that changed one server cost a third of building the whole ring."""
 
     def seconds(*servers: int) -> float:
-        for server in servers:
-            ring.set_virtual_nodes(
-                f"s{server}", f"s{server}", 0 if f"s{server}" in ring.nodes_by_owner else 128
-            )
         began = time.process_time()
-        ring.apply_changes()
+        place(ring, [(server, 0 if f"s{server}" in ring.slots else 128) for server in servers])
+        work_off(ring)
         return time.process_time() - began
 
-    ring: Ring[str] = Ring()
+    ring = Ring()
     whole = seconds(*range(300))
     assert min(seconds(n) for n in range(8)) < whole / 10
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,10 +12,12 @@
 
 from brackenwalk import discovery_calls, policy, state
 from brackenwalk import interface as api
+from brackenwalk.membership import VNODES
 from brackenwalk.net import discovery
 from brackenwalk.policy import Router
-from brackenwalk.ring import ring_hash
+from brackenwalk.ring import SWEEP_DIVISOR, ring_hash
 from tests.driver import Driver, entry, settings
+from tests.ring_nodes import nodes_in_use
 
 MAY_HAVE_RUN = [api.Status.ERROR, api.Status.RESET, api.Status.TIMEOUT, api.Status.CANCELLED]
 NEVER_RAN = [api.Status.BUSY, api.Status.CONNECT_FAILED, api.Status.UNSENT]
@@ -466,8 +468,8 @@
 def walk_order(driver: Driver, key: str) -> list[str]:
     """Return the servers clockwise from a key, each once."""
     instance = driver.router
-    around = instance.ring.clockwise(ring_hash(key)[0], len(instance.ring.positions))
-    return list(dict.fromkeys(server.entry.server for server, _ in around))
+    around = instance.ring.clockwise(ring_hash(key)[0], instance.ring.nodes_in_use)
+    return list(dict.fromkeys(server for server, _ in around))
 
 
 def test_a_key_spills_no_further_than_the_second_full_server() -> None:
@@ -610,7 +612,10 @@
     instance = driver.router
     assert not instance.pending_requests and not instance.attempts
     assert len(instance.servers) <= 5 and len(instance.queue) < 100
-    assert len(instance.ring.owners) == len(instance.ring.positions) <= 5 * policy.VNODES
+    ring = instance.ring
+    assert len(nodes_in_use(ring)) == ring.nodes_in_use <= 5 * VNODES
+    assert sum(map(len, ring.nodes.segments)) <= ring.nodes_in_use * (1 + 1 / SWEEP_DIVISOR)
+    assert len(ring.owners) <= 2 * 5  # slots: of those listed, and as many that wait to be swept out
 
 
 def test_the_origin_queue_stays_bounded() -> None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -10,7 +10,7 @@
 from brackenwalk import interface as api
 from brackenwalk.shares import TrafficShares
 from brackenwalk.state import Server
-from tests.driver import Driver, entry, settings
+from tests.driver import Driver, entry, finish, settings
 
 SETTINGS = settings(peer_messages=True, cold_share=0.2, ramp=10.0, max_list_age=10.0)
 
@@ -88,7 +88,7 @@
             driver.list(changed, kind=api.ListKind.DELTA)
         driver.feed(api.TimerFired("the time"))
         if shares.caches:
-            shares.plan(driver.router._clockwise, driver.router.ring.owner_at)
+            finish(shares.plan())
             expected = reference_shares(shares)
             got = {s.entry.server: f for s, f in shares.fair_shares().items()}
             assert got == pytest.approx(expected)
@@ -111,7 +111,7 @@
         return started(server)
 
     monkeypatch.setattr(shares, "started_at", looked)
-    shares.plan(driver.router._clockwise, driver.router.ring.owner_at)
+    finish(shares.plan())
     assert {s.entry.server for s in looked_at} <= {"s7"} and len(looked_at) < 100
 
 
@@ -120,6 +120,6 @@
     driver = Driver(SETTINGS)
     driver.list(*(entry(f"s{i}") for i in range(8)))
     before = driver.request("r1", key="k", finish=True)
-    monkeypatch.setattr(driver.router, "_build_ring", None)
+    monkeypatch.setattr(driver.router.membership, "apply", None)
     assert driver.list(kind=api.ListKind.DELTA) == []
     assert driver.request("r2", key="k", finish=True) == before
