--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -34,6 +34,7 @@
 MAX_FAILURES = 3  # in a row, too many for chance; from then on there is one trial every SILENT_AIMS
 KEEP_SHARE = 0.5  # of the idle time that costs as much as a handshake: so long a connection is kept
 KEEP_RECOVERY_SHARE = 0.01  # of the way back to KEEP_SHARE per outcome; each failed dial halves the share
+PLAN_BUDGET = 1024  # cost of the steps of a plan that are taken in one event
 NO_ANSWER = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.UNSENT)
 
 
@@ -52,6 +53,7 @@
         self.membership = Membership(settings, self.shares, self.peer_updates)
         self.servers, self.ring = self.shares.servers, self.shares.ring
         self.caches = self.shares.caches  # cache servers that are ready and on the ring
+        self.plan: Iterator[int] | None = None  # the plan for hot keys that is being made
         self.resume_requested = False  # an `api.Resume` is to come
         self.pending_requests: dict[str, PendingRequest] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
@@ -111,6 +113,7 @@
             return
         if event.entries or event.kind is not api.ListKind.DELTA:
             # Skipped when a watch ends without changes, which happens every few seconds.
+            self.plan = None
             self.membership.apply(event)
             self.membership.step()  # which is all that a small change needs
             self._request_resume()
@@ -123,16 +126,27 @@
         self._advance_waiting()
 
     def _on_resume(self) -> None:
-        """Take the next step of working in the server list."""
+        """Take the next step of working in the server list or, when that is done, of the plan."""
         self.resume_requested = False
         try:
-            if self.membership.step():
+            if not self.ring.has_work():
+                self._continue_plan()
+            elif self.membership.step():
+                self.plan = None
                 self._advance_waiting()
         finally:
             self._request_resume()
 
+    def _continue_plan(self) -> None:
+        budget = PLAN_BUDGET
+        while self.plan is not None and budget > 0:
+            cost = next(self.plan, None)
+            self.plan = None if cost is None else self.plan
+            budget -= cost or 0
+        self._request_resume()
+
     def _request_resume(self) -> None:
-        if self.ring.has_work() and not self.resume_requested:
+        if (self.plan is not None or self.ring.has_work()) and not self.resume_requested:
             self.resume_requested = True
             self.actions.append(api.ResumeLater())
 
@@ -257,8 +271,8 @@
             self.demand.add(pending.ring_position >> 32)
             self.demand.limit(len(self.caches))
         if self.caches and self.peer_updates.due(self.now):
-            for _ in self.shares.plan():
-                pass
+            self.plan = self.plan or self.shares.plan()
+            self._continue_plan()
             if message := self.peer_updates.next_message(self.now):
                 self.actions.append(api.Broadcast(message))
         self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRY_SHARE)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,8 +13,9 @@
 
 from brackenwalk import interface as api
 from brackenwalk import ring as ring_module
+from brackenwalk.demand import WALK_COST
 from brackenwalk.membership import STEP_NODES, VNODES
-from brackenwalk.policy import Router
+from brackenwalk.policy import PLAN_BUDGET, Router
 from tests.driver import Driver, entry, settings
 from tests.ring_nodes import nodes_in_use
 
@@ -280,3 +281,52 @@
     assert driver.router.shares.total_weight == pytest.approx(fresh.router.shares.total_weight)
     total = sum(map(len, driver.router.ring.nodes.segments))
     assert total == driver.router.ring.nodes_in_use + driver.router.ring.retired_nodes
+
+
+# The plan for hot keys behind a list
+
+
+def planning_driver(keys: int) -> Driver:
+    driver = Driver(settings(ramp=1e9, cold_share=0.1, peer_messages=True))
+    driver.list(*fleet(started_at=driver.now))
+    for key in range(keys):
+        for _ in range(3):
+            driver.router.demand.add((key * 2654435761) % 2**32)
+    driver.stepwise = True
+    return driver
+
+
+def test_no_event_plans_all_hot_keys(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: with thousands of cold servers and of counted keys, one plan stops the event loop."""
+    driver = planning_driver(2000)
+    walk, walks = driver.router.shares.walk, 0
+
+    def counting(*args: Any) -> Any:
+        nonlocal walks
+        walks += 1
+        return walk(*args)
+
+    monkeypatch.setattr(driver.router.shares, "walk", counting)
+    driver.request("r1", key="k")
+    most = walks
+    while driver.router.plan is not None:
+        before = walks
+        driver.feed(api.Resume())
+        most = max(most, walks - before)
+    assert walks >= 2000 and most <= PLAN_BUDGET // WALK_COST + 2  # and those of the request itself
+    assert len(driver.router.shares.hot_shares) > 1000
+
+
+def test_a_plan_is_given_up_when_the_servers_change() -> None:
+    """Guards against: a plan goes on for servers that have left."""
+    driver = planning_driver(2000)
+    driver.request("r1", key="k")
+    assert driver.router.plan is not None
+    driver.list(entry("s0", state=api.ServerState.GONE), kind=api.ListKind.DELTA)
+    assert driver.router.plan is None
+    driver.now += 1.0
+    driver.request("r2", key="k")
+    assert driver.router.plan is not None
+    while driver.router.plan is not None:
+        driver.feed(api.Resume())
+    assert all(s.entry.server != "s0" for shares in driver.router.shares.hot_shares.values() for s in shares)
