Advance the origin's queue once when the servers change, not once for each request in it

What callers see: with many requests queued for the origin, any list with a change stops the event loop: 33 ms of processor time with 500 of them, 486 ms with 2,000, 3,641 ms with 5,000 (two servers listed; module alone).

Cause: `Router._on_list` put each queued request in again by itself, and each time the whole queue was served, searched and sorted; each request also got another timer with every list.

Change: requests for the origin stay in the queue, which is served once; only those that can go to cache servers now are advanced.

`test_a_change_of_servers_advances_the_origin_queue_once` fails before: 200 passes over the queue.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -151,9 +151,11 @@
             self.actions.append(api.ResumeLater())
 
     def _advance_waiting(self) -> None:
-        """Advance the queued requests after a change of the servers."""
-        queue, self.queue = sorted(self.queue), []
-        for pending in (q[2] for q in queue if q[2].waiting):
+        """Advance the queued requests after a change of the servers, those for the origin all at once."""
+        queue = sorted(q for q in self.queue if q[2].waiting)
+        self.queue = [q for q in queue if q[2].to_origin or not self.caches]
+        self._serve_queue()
+        for pending in (q[2] for q in queue if self.caches and not q[2].to_origin):
             pending.waiting = False
             self._advance(pending)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -330,3 +330,23 @@
     while driver.router.plan is not None:
         driver.feed(api.Resume())
     assert all(s.entry.server != "s0" for shares in driver.router.shares.hot_shares.values() for s in shares)
+
+
+def test_a_change_of_servers_advances_the_origin_queue_once() -> None:
+    """Guards against: with each list, the work for the queue grows with the square of its length."""
+    driver = Driver(settings(aside=True, origin_kind="origin"))
+    driver.list(entry("a"), entry("o", kind="origin"))
+    driver.router.servers["o"].limit = 1.0
+    for n in range(200):
+        driver.request(f"w{n}", key=f"k{n}", write=True)
+    assert len(driver.router.queue) == 199
+    served, serve = 0, driver.router._serve_queue
+
+    def counting() -> None:
+        nonlocal served
+        served += 1
+        serve()
+
+    driver.router._serve_queue = counting  # type: ignore[method-assign]
+    driver.list(entry("b"), kind=api.ListKind.DELTA)
+    assert served <= 2 and len(driver.router.queue) == 199
