End a walk over the ring after one round, whatever the count of its nodes says

Found by reading: `NodeSegments.clockwise` went on without end, and only the count of nodes in use ended a walk. A count that was too high after an internal error would have stopped the router for good. Behaviour is unchanged while the count is right.

--- a/brackenwalk/node_segments.py
+++ b/brackenwalk/node_segments.py
@@ -58,10 +58,11 @@
             yield len(segment)
 
     def clockwise(self, position: int) -> Iterator[array[int]]:
-        """Yield arrays of packed nodes from a position on, without end: the ring is closed."""
+        """Yield arrays of packed nodes from a position on, once round the ring."""
         number = position >> SEGMENT_SHIFT
         segment = self.segments[number]
-        yield segment[bisect_left(segment, position << SEGMENT_BITS & POSITION_MASK) :]
-        while True:
-            number = (number + 1) % SEGMENTS
-            yield self.segments[number]
+        index = bisect_left(segment, position << SEGMENT_BITS & POSITION_MASK)
+        yield segment[index:]
+        for step in range(1, SEGMENTS):
+            yield self.segments[(number + step) % SEGMENTS]
+        yield segment[:index]
--- a/brackenwalk/ring.py
+++ b/brackenwalk/ring.py
@@ -89,7 +89,7 @@
 
         A rank is from 0 to 1: (index among the owner's nodes + 0.5) / count.
         """
-        left = min(limit, self.nodes_in_use)
+        left = min(limit, self.nodes_in_use)  # so that a walk ends without passing all nodes that don't count
         for segment in self.nodes.clockwise(position):
             for node in segment:
                 if not left:
