Add a lab command that plays list changes on a real router with requests beside them

`python -m fleetlab lists` starts the router of a checkout by its deploy file at 60 to 3,200 servers, plays first list, one server, weights, zones, SIGHUP, an outage, changes in a row and SIGTERM, and prints how long a request waited at the most and what processor time the process took. Steps count to the list or change that they belong to in `module_costs`, and to the control of hollow routers.

--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -1,4 +1,4 @@
-"""The command line: run, sweep, report, check and sites.
+"""The command line: run, sweep, report, check, sites and lists.
 
 Exit codes: 0; 1 if a play failed; 2 for an invalid file or option; 3 if a play is refused as it exceeds its
 limits; 130 after Ctrl-C.
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import dataclasses
 import importlib
@@ -229,6 +230,21 @@
             click.echo(str(path))
 
 
+@main.command()
+@click.option("--servers", type=int, multiple=True, default=(60, 300, 930, 3200), show_default=True)
+@click.option(
+    "--checkout",
+    type=click.Path(path_type=Path, file_okay=False, exists=True),
+    default=Path("."),
+    show_default=True,
+    help="Where the router's deploy file is, which has been built.",
+)
+def lists(servers: tuple[int, ...], checkout: Path) -> None:
+    """Play changes of the server list on a real router, and print how long requests waited beside them."""
+    module = _load("fleetlab.list_changes")
+    click.echo(module.table(asyncio.run(module.play_list_changes(checkout, list(servers)))))
+
+
 @main.command(hidden=True)
 @FILE
 @click.argument("seed", type=int)
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -460,7 +460,8 @@
     request_ns = metrics["cpu.us.request"].value * 1000 if "cpu.us.request" in metrics else 0.0
     # the cost of each `tell` includes that of the request during which the message was sent
     control_ns = [
-        sum(m.cpu_ns[k] for k in (*CONTROL_KINDS, "list")) - m.events["tell"] * request_ns for m in meters
+        sum(m.cpu_ns[k] for k in (*CONTROL_KINDS, "list", "resume")) - m.events["tell"] * request_ns
+        for m in meters
     ]
     metrics["cpu.control"] = mean_and_range([max(0.0, c) / 1e9 / seconds for c in control_ns], "core")
     metrics["cpu.share"] = mean_and_range([m.cpu_ns.total() / 1e9 / seconds for m in meters], "core")
--- a/fleetlab/module_costs.py
+++ b/fleetlab/module_costs.py
@@ -55,16 +55,30 @@
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.spent: defaultdict[str, list[float]] = defaultdict(list)
+        self.resumed_kind = "other"  # of the event whose work is done in steps
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        """Handle an event as `Router` does, and record the time it takes."""
+        """Handle an event as `Router` does; record its time, that of steps with the event they belong to."""
         due = next_peer_update(self)
         began = time.thread_time_ns()
         actions = super().handle(now, event)
         spent = (time.thread_time_ns() - began) / 1e9
-        self.spent[event_kind(event) if next_peer_update(self) == due else "tell"].append(spent)
+        if isinstance(event, api.Resume):
+            self.spent[self.resumed_kind][-1:] = [sum(self.spent[self.resumed_kind][-1:]) + spent]
+            return actions
+        kind = event_kind(event) if next_peer_update(self) == due else "tell"
+        self.spent[kind].append(spent)
+        if any(isinstance(action, api.ResumeLater) for action in actions):
+            self.resumed_kind = kind
         return actions
 
+    def handle_wholly(self, now: float, event: api.Event) -> None:
+        """Handle an event and all steps that it leads to."""
+        due: list[api.Event] = [event]
+        while due:
+            actions = self.handle(now, due.pop())
+            due = [api.Resume() for action in actions if isinstance(action, api.ResumeLater)]
+
 
 class TimedFleetModel(FleetModel):
     """A fleet model of timed routers."""
@@ -157,7 +171,7 @@
     full_list = tuple(entries)
     for i in range(FIRST_LISTS):
         router = TimedRouter(settings, seed + i, 100.0)
-        router.handle(100.0, api.ServerList(api.ListKind.SAVED, full_list))
+        router.handle_wholly(100.0, api.ServerList(api.ListKind.SAVED, full_list))
         spent["list"] += router.spent["list"]
     router.spent.clear()
     for _ in range(FIRST_LISTS):
@@ -177,7 +191,7 @@
         ):
             change_kind = "weight" if changed.weight != entry.weight else changed.state.value
             router.spent.clear()
-            router.handle(now, api.ServerList(api.ListKind.DELTA, (changed,)))
+            router.handle_wholly(now, api.ServerList(api.ListKind.DELTA, (changed,)))
             spent["change." + change_kind] += router.spent["change"]
             spent["change"] += router.spent["change"]
     return dict(spent)
