Give another discovery another index in the lab's list changes, and wait for the exit itself

In the rows of SIGHUP the second discovery had the index of the first, so that the router rightly found no change and nothing was played. A process that ended between two looks broke the play off with NoSuchProcess (once, at 3,200 servers).

--- a/fleetlab/list_changes.py
+++ b/fleetlab/list_changes.py
@@ -179,8 +179,9 @@
         await asyncio.sleep(0)  # lets open watches end
         return self.rows
 
-    async def _new_discovery(self, entries: list[Entry] | None = None) -> DiscoveryStandIn:
+    async def _new_discovery(self, entries: list[Entry] | None = None, index: int = 1) -> DiscoveryStandIn:
         server_list = VersionedList(self.plan)
+        server_list.index = server_list.oldest = index
         server_list.entries = {e["name"]: e for e in entries or self._entries()}
         discovery = DiscoveryStandIn(server_list)
         await discovery.start()
@@ -225,6 +226,7 @@
                 *command, cwd=self.checkout, env=environment, stderr=log
             )
         self.process = psutil.Process(process.pid)
+        self.ended = asyncio.create_task(process.wait())
         try:
             started_at = time.monotonic()
             while time.monotonic() - started_at < MAX_WAIT_S:
@@ -245,7 +247,7 @@
         finally:
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
-            await process.wait()
+            await self.ended
 
     def _cpu(self) -> float:
         times = self.process.cpu_times()
@@ -278,8 +280,7 @@
         began = time.monotonic()
         await asyncio.sleep(0.2)
         self.requests.stop()
-        while self.process.is_running() and self.process.status() != psutil.STATUS_ZOMBIE:
-            await asyncio.sleep(0.01)
+        await self.ended
         waited = time.monotonic() - began
         self.rows.append(Row(self.count, "SIGTERM in the middle: exit", 1000 * waited, 0.0, 0))
 
@@ -349,7 +350,8 @@
 
     async def _move_to(self, entries: list[Entry]) -> None:
         previous = self.discovery
-        self.discovery = await self._new_discovery(entries)
+        # with an index of its own, or a watch from the one before would find no change
+        self.discovery = await self._new_discovery(entries, previous.list.index + 1)
         self._write_config()
         self.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.1)
