--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -241,7 +241,7 @@
     def __init__(self, name: str, registry: Registry, record: Record, *, queue_delay: float = 0.0) -> None:
         self.name, self.registry, self.record, self.queue_delay = name, registry, record, queue_delay
         self.writers: set[asyncio.StreamWriter] = set()
-        self.answered: list[tuple[float, int]] = []  # seconds of the record, and the version that was told
+        self.first_answer = asyncio.Event()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -253,21 +253,27 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError), contextlib.closing(writer):
             _, target, _, _ = await read_http(reader)
             self.record.line(f"{self.name} called: {target}")
-            await asyncio.sleep(self.queue_delay)
-            message = await self._answer(parse_qs(urlsplit(target).query))
-            body = json.dumps(message).encode()
-            if await self._write(reader, writer, body):
-                self.answered.append((self.record.now(), message["index"]))
+            if await self.admit():
+                message = await self._answer(parse_qs(urlsplit(target).query))
+                await self._write(reader, writer, json.dumps(message).encode())
+                self.first_answer.set()
+            else:
+                self.record.line(f"{self.name} fails a call with 503")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
         self.writers.discard(writer)
 
-    async def _write(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, body: bytes) -> bool:
+    async def admit(self) -> bool:
+        """Wait in the queue, and return whether the call is handled; it fails otherwise."""
+        await asyncio.sleep(self.queue_delay)
+        return True
+
+    async def _write(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, body: bytes) -> None:
         if reader.at_eof() or writer.is_closing():
             self.record.line(f"{self.name}: the caller has gone before its answer")
-            return False
+            return
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         await writer.drain()
         self.record.line(f"{self.name} answered: {body.decode()[:60]}")
-        return True
 
     async def _answer(self, query: dict[str, list[str]]) -> dict[str, Any]:
         if "after" not in query:
@@ -291,6 +297,16 @@
         for writer in list(self.writers):
             writer.close()
 
+    def go_down(self) -> None:
+        """Refuse new connections and end the open ones."""
+        self.record.line(f"{self.name} goes down")
+        self.stop_accepting()
+        self.close_open()
+
+    async def come_back(self) -> None:
+        """Listen again at the same address."""
+        self.server = await asyncio.start_server(self._serve, HOST, int(self.address.rpartition(":")[2]))
+
 
 class Router:
     """The process of one router, started by the command `run` of the deploy file."""
