Review stand-ins: a client that is cancelled ends in any case

In Python 3.11 asyncio.wait_for may swallow a cancellation that comes with an answer, and the client then goes on. Found by reading, not traced; the client now uses asyncio.timeout.

--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -282,7 +282,8 @@
         after, wait = int(query["after"][0]), min(60.0, int(query["wait_ms"][0]) / 1000)
         if self.registry.index <= after:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.registry.changed.wait(), wait)
+                async with asyncio.timeout(wait):
+                    await self.registry.changed.wait()
         return self.registry.changes(after)
 
     def tell_no_changes(self) -> None:
@@ -408,7 +409,8 @@
         sent_at = time.monotonic()
         self.writer.write(command)
         try:
-            text = await asyncio.wait_for(self.read_answer(), patience)
+            async with asyncio.timeout(patience):  # `wait_for` may swallow a cancellation in Python 3.11
+                text = await self.read_answer()
         except TimeoutError:
             return None
         except (asyncio.IncompleteReadError, ConnectionError):
